Make room among client connections without a call; move the roster watch on SIGHUP

Checked: descriptors stand at 125 to 134 of 256 from the first quarter on, so the bound on clients was reached and never left; nothing in the log. At fault: Acceptor.listen, which only stopped accepting at its bound, and track(), which knew only connections that had carried a request; Main, which had no handler for SIGHUP. Ruled out: accepting by hand from XNIO's queue. Its server takes up to 128 connections ahead and runs the accept task again and again while one is left in the queue, which starves the timers; so its water mark stays the bound, and room is made before it is reached. SIGHUP re-reads the file beside the loop; the watch moves, list, connections and calls stay, and what the old address does is unheard. Once the file's discovery changes it goes before LB_DISCOVERY. A stop no longer waits without end.

--- a/src/main/java/trailthread/node/Main.java
+++ b/src/main/java/trailthread/node/Main.java
@@ -3,7 +3,9 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.BindException;
+import org.slf4j.LoggerFactory;
 import trailthread.adapter.Adapter;
 
 /** Starts the program: {@code serve}, a real node; {@code adapter}, the module on the simulator's wire. */
@@ -35,6 +37,7 @@
         System.setProperty("io.undertow.max-drain-time", "1000");
         try {
             Node node = new Node(NodeConfig.load(System.getenv()));
+            onHangup(() -> node.reload(System.getenv()));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
         } catch (ConfigException e) {
@@ -46,6 +49,28 @@
         }
     }
 
+    /**
+     * Runs this on each SIGHUP, which would end the virtual machine. By reflection, as the compiler warns of
+     * the only class that handles signals, and a warning is an error here.
+     */
+    private static void onHangup(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object handles = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        if (method.getName().equals("handle")) {
+                            task.run();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handles);
+        } catch (ReflectiveOperationException e) {
+            LoggerFactory.getLogger(Main.class).warn("SIGHUP is not handled: {}", e.toString());
+        }
+    }
+
     /** Ends in 0 what would end in the signal's number: a planned end is no failure. */
     private static void stop(Node node) {
         try {
--- a/src/main/java/trailthread/node/Node.java
+++ b/src/main/java/trailthread/node/Node.java
@@ -4,11 +4,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trailthread.BalancerApi.Entry;
 import trailthread.BalancerApi.ListKind;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.node.acceptor.Acceptor;
 import trailthread.node.loop.Loop;
 import trailthread.node.roster.Roster;
@@ -21,11 +24,19 @@
 final class Node implements RosterListener {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /** Descriptors that the virtual machine, the listening socket and the roster take. */
-    private static final int OWN_DESCRIPTORS = 64;
+    private static final int OWN_DESCRIPTORS = 48;
+    /**
+     * Share of the others for connections to clients. Their calls need up to a third of all; the rest of this
+     * is room for connections that carry none as yet, or no more.
+     */
+    private static final double CLIENTS_SHARE = 0.6;
     /** New connections go on coming for a while after a stop is asked for, as the front hears of it late. */
     private static final long SERVES_ON_NS = 700_000_000L;
 
-    private final NodeConfig config;
+    /** A client that reads its last answer slowly is waited for so long. */
+    private static final long LAST_ANSWER_NS = 1_000_000_000L;
+
+    private volatile NodeConfig config;
     private final Loop loop;
     private final Workers workers;
     private final Calls calls;
@@ -35,22 +46,19 @@
     Node(NodeConfig config) throws IOException {
         this.config = config;
         loop = new Loop(config.name());
+        int forOthers = config.sockets() - OWN_DESCRIPTORS;
+        int forClients = (int) (CLIENTS_SHARE * forOthers);
         workers = new Workers(loop, config.settings().connectTimeoutNs, config.idleCloseNs(),
-                config.drainGraceNs(), connections());
+                config.drainGraceNs(), forOthers - forClients);
         calls = new Calls(loop, workers, config.settings(), config.seed());
         roster = new Roster(loop, config.discovery(), this);
         calls.setRoster(roster);
-        acceptor = new Acceptor(loop, config.settings().classes, calls);
-    }
-
-    /** The most to clients, and the most to workers. */
-    private int connections() {
-        return (config.sockets() - OWN_DESCRIPTORS) / 2;
+        acceptor = new Acceptor(loop, config.settings().classes, forClients, calls);
     }
 
     /** Opens the clients' address and serves from then on. */
     void start() throws IOException {
-        InetSocketAddress address = acceptor.listen(config.listen(), connections());
+        InetSocketAddress address = acceptor.listen(config.listen());
         loop.execute(() -> {
             roster.known(config.known());
             list(ListKind.CACHED, config.known());
@@ -64,7 +72,23 @@
         });
     }
 
-    /** Serves on for a while, then finishes every call taken; returns when there is none left. */
+    /**
+     * Takes over where discovery is now; list, connections and calls stay. What the file says of anything else
+     * waits for the next start. The file is read beside the loop, one reading after the other.
+     */
+    void reload(Map<String, String> environment) {
+        loop.worker().execute(() -> {
+            try {
+                config = config.reload(environment);
+                InetSocketAddress discovery = config.discovery();
+                loop.execute(() -> roster.move(discovery));
+            } catch (ConfigException e) {
+                LOG.error("configuration not taken over: {}", e.getMessage());
+            }
+        });
+    }
+
+    /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     void stop() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
@@ -72,7 +96,9 @@
             acceptor.setReady(false);
             loop.after(SERVES_ON_NS, () -> acceptor.close(done::countDown));
         });
-        done.await();
+        long longestNs =
+                config.settings().classes.stream().mapToLong(RequestClass::deadlineNs).max().orElseThrow();
+        done.await(SERVES_ON_NS + longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/src/main/java/trailthread/node/NodeConfig.java
+++ b/src/main/java/trailthread/node/NodeConfig.java
@@ -19,13 +19,14 @@
 /**
  * What a node is told at its start.
  *
+ * @param told         discovery as the file names it; {@code discovery} is the one to use
  * @param sockets      how many file descriptors the node may hold
  * @param known        the list of workers as this node had it last, perhaps old
  * @param idleCloseNs  how long a worker leaves an idle connection open
  * @param drainGraceNs how long after the news of a drain something new may still be sent
  */
-record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                  RosterUpdate known, Settings settings, long idleCloseNs, long drainGraceNs) {
+record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, String told, long seed,
+                  int sockets, RosterUpdate known, Settings settings, long idleCloseNs, long drainGraceNs) {
     private static final String FILE = "LB_CONFIG";
     private static final int DEFAULT_SOCKETS = 1024;
     /** The virtual machine alone holds some thirty. */
@@ -43,6 +44,19 @@
         }
     }
 
+    /**
+     * Reads the file again, for where discovery is now. Once the file names another one, that goes before
+     * LB_DISCOVERY: nobody can change the variables of a program that runs.
+     *
+     * @throws ConfigException if the file is of no use; what was read before stands
+     */
+    NodeConfig reload(Map<String, String> environment) throws ConfigException {
+        NodeConfig now = load(environment);
+        boolean moves = !now.told.isEmpty() && !now.told.equals(told);
+        return new NodeConfig(name, listen, moves ? address("discovery", now.told, 1) : discovery,
+                moves ? now.told : told, seed, sockets, known, settings, idleCloseNs, drainGraceNs);
+    }
+
     static NodeConfig parse(Reader json, Map<String, String> environment) throws ConfigException {
         String name = "node";
         String listen = "";
@@ -78,7 +92,7 @@
             return new NodeConfig(environment.getOrDefault("LB_NAME", name),
                     address("listen", environment.getOrDefault("LB_LISTEN", listen), 0),
                     address("discovery", environment.getOrDefault("LB_DISCOVERY", discovery), 1),
-                    seed(seed), sockets, known, usable,
+                    discovery, seed(seed), sockets, known, usable,
                     settings.whole("limits.idle_close_ns", DEFAULT_IDLE_CLOSE_NS),
                     settings.whole("safety.drain_grace_ns", DEFAULT_DRAIN_GRACE_NS));
         } catch (IllegalArgumentException e) {
--- a/src/main/java/trailthread/node/acceptor/Acceptor.java
+++ b/src/main/java/trailthread/node/acceptor/Acceptor.java
@@ -1,16 +1,15 @@
 package trailthread.node.acceptor;
 
 import io.undertow.UndertowOptions;
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -27,31 +26,33 @@
 public final class Acceptor {
     private static final Logger LOG = LoggerFactory.getLogger(Acceptor.class);
     private static final String READY_PATH = "/ready";
-    /** How long the body of what is no call may take. */
-    private static final long BAD_BODY_WITHIN_NS = 2_000_000_000L;
-    private static final int HEADERS_WITHIN_MS = 10_000;
+    private static final int HEADERS_WITHIN_MS = 2_000;
     private static final int MOST_HEADER_BYTES = 16 * 1024;
     private static final int BACKLOG = 1024;
 
     private final Loop loop;
     private final CallDecoder decoder;
+    private final ClientConnections connections;
+    private final int mostConnections;
     private CallTaker taker;
-    /** Connections that have carried a request, and those that carry one now. */
-    private final Set<ServerConnection> connections = new HashSet<>();
-    private final Set<ServerConnection> busy = new HashSet<>();
     private AcceptingChannel<StreamConnection> server;
     private boolean ready;
     private boolean closing;
     private Runnable closed;
 
-    public Acceptor(Loop loop, List<RequestClass> classes, CallTaker taker) {
+    /**
+     * @param mostConnections past these, connections without a call make room, or further ones wait
+     */
+    public Acceptor(Loop loop, List<RequestClass> classes, int mostConnections, CallTaker taker) {
         this.loop = loop;
+        this.mostConnections = mostConnections;
+        this.connections = new ClientConnections(loop, mostConnections);
         this.decoder = new CallDecoder(classes);
         this.taker = taker;
     }
 
-    /** Opens the clients' address, and says which; past the most connections, further ones wait. */
-    public InetSocketAddress listen(InetSocketAddress address, int mostConnections) throws IOException {
+    /** Opens the clients' address, and says which. */
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         HttpOpenListener http = new HttpOpenListener(loop.buffers(), OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER_BYTES)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADERS_WITHIN_MS)
@@ -61,7 +62,7 @@
                 .getMap());
         http.setRootHandler(this::handle);
         ChannelListener<AcceptingChannel<StreamConnection>> accept =
-                ChannelListeners.openListenerAdapter(http);
+                ChannelListeners.openListenerAdapter(connection -> opened(connection, http));
         server = loop.worker().createStreamConnectionServer(address, accept, OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
@@ -73,6 +74,15 @@
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
+    private void opened(StreamConnection connection, HttpOpenListener http) {
+        connections.opened(connection);
+        connection.setCloseListener(ended -> {
+            connections.closed(ended);
+            reportClosed();
+        });
+        http.handleEvent(connection);
+    }
+
     /** Who takes calls from now on. */
     public void setTaker(CallTaker taker) {
         this.taker = taker;
@@ -88,38 +98,34 @@
         closing = true;
         closed = whenDone;
         IoUtils.safeClose(server);
-        for (ServerConnection connection : List.copyOf(connections)) {
-            if (!busy.contains(connection)) {
-                IoUtils.safeClose(connection);
-            }
-        }
+        connections.closeUnused();
         reportClosed();
     }
 
     private void reportClosed() {
-        if (closing && busy.isEmpty()) {
+        if (closing && connections.noneBusy()) {
             closed.run();
         }
     }
 
     private void handle(HttpServerExchange exchange) {
         long headersAt = loop.now();
-        track(exchange);
+        long owedBy = track(exchange);
         if (exchange.getRequestURI().equals(READY_PATH)) {
             exchange.setStatusCode(ready ? 200 : 503);
             return;
         }
         ClientCall head = decode(exchange);
-        if (exchange.getRequestContentLength() > BodyReader.MOST_SKIPPED) {
+        if (exchange.getRequestContentLength() > BodyReader.MOST_BYTES) {
             Connectors.terminateRequest(exchange); // too much to read past
-            reject(exchange, 413);
+            reject(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        long bodyWithinNs = head == null ? BAD_BODY_WITHIN_NS : head.timeLeftNs();
         exchange.dispatch(SameThreadExecutor.INSTANCE,
-                () -> new BodyReader(loop, exchange, bodyWithinNs, body -> {
+                () -> new BodyReader(loop, exchange, owedBy - loop.now(), body -> {
                     if (head == null || body == null) {
-                        reject(exchange, head == null ? 400 : 413);
+                        reject(exchange, head == null ? StatusCodes.BAD_REQUEST
+                                : StatusCodes.REQUEST_ENTITY_TOO_LARGE);
                     } else {
                         take(exchange, head.withBody(body), headersAt);
                     }
@@ -137,25 +143,20 @@
         }
     }
 
-    private void track(HttpServerExchange exchange) {
-        ServerConnection connection = exchange.getConnection();
-        if (connections.add(connection)) {
-            connection.addCloseListener(ended -> {
-                connections.remove(ended);
-                busy.remove(ended);
-                reportClosed();
-            });
-        }
-        busy.add(connection);
+    /** Says by when the whole message is owed. */
+    private long track(HttpServerExchange exchange) {
+        StreamConnection connection = ((AbstractServerConnection) exchange.getConnection()).getChannel();
+        long owedBy = connections.began(connection);
         exchange.addExchangeCompleteListener((done, next) -> {
-            busy.remove(connection);
+            connections.ended(connection);
             next.proceed();
             reportClosed();
         });
+        return owedBy;
     }
 
     private void take(HttpServerExchange exchange, ClientCall call, long headersAt) {
-        HttpReply reply = new HttpReply(exchange, () -> closing);
+        HttpReply reply = new HttpReply(loop, exchange, () -> closing);
         reply.watchClient(taker.take(call, headersAt + call.timeLeftNs(), reply));
     }
 
--- a/src/main/java/trailthread/node/acceptor/BodyReader.java
+++ b/src/main/java/trailthread/node/acceptor/BodyReader.java
@@ -16,8 +16,8 @@
  */
 final class BodyReader {
     static final int MOST_BYTES = 64 * 1024;
-    /** Of a body that is too large, so much is read past before the connection ends unanswered. */
-    static final long MOST_SKIPPED = 1024 * 1024;
+    /** Of a chunked body that is too large, so much is read past before the connection ends unanswered. */
+    private static final long MOST_SKIPPED = 1024 * 1024;
 
     private final Loop loop;
     private final HttpServerExchange exchange;
--- a/src/main/java/trailthread/node/acceptor/HttpReply.java
+++ b/src/main/java/trailthread/node/acceptor/HttpReply.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
+import trailthread.node.loop.Loop;
 import trailthread.node.loop.Seconds;
 
 /** Answers one call over HTTP, and notices when its client goes away. */
@@ -16,6 +17,10 @@
     private static final int OVERLOAD = 503;
     private static final int FAILED = 502;
 
+    /** A client that does not read its answer for so long loses it, and its connection. */
+    private static final long READ_WITHIN_NS = 10_000_000_000L;
+
+    private final Loop loop;
     private final HttpServerExchange exchange;
     private final BooleanSupplier closing;
     private boolean answered;
@@ -23,7 +28,8 @@
     /**
      * @param closing whether the connection is to end with the answer
      */
-    HttpReply(HttpServerExchange exchange, BooleanSupplier closing) {
+    HttpReply(Loop loop, HttpServerExchange exchange, BooleanSupplier closing) {
+        this.loop = loop;
         this.exchange = exchange;
         this.closing = closing;
     }
@@ -56,6 +62,13 @@
             exchange.setPersistent(false);
         }
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        if (!exchange.isResponseComplete()) {
+            loop.after(READ_WITHIN_NS, () -> {
+                if (!exchange.isResponseComplete()) {
+                    IoUtils.safeClose(exchange.getConnection());
+                }
+            });
+        }
     }
 
     /**
--- a/src/main/java/trailthread/node/roster/Roster.java
+++ b/src/main/java/trailthread/node/roster/Roster.java
@@ -11,6 +11,9 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -31,19 +34,43 @@
     private static final long LINE_WITHIN_NS = 4_500_000_000L;
 
     private final Loop loop;
-    private final URI uri;
+    private URI uri;
     private final RosterListener listener;
     /** The version held, or -1. */
     private long generation = -1;
     private Exchange watch;
+    /** All that is out, the watch too. */
+    private final Set<Exchange> open = new HashSet<>();
     private boolean failing;
 
     public Roster(Loop loop, InetSocketAddress address, RosterListener listener) {
         this.loop = loop;
-        this.uri = URI.create("http://" + address.getHostString() + ":" + address.getPort());
+        this.uri = uri(address);
         this.listener = listener;
     }
 
+    private static URI uri(InetSocketAddress address) {
+        return URI.create("http://" + address.getHostString() + ":" + address.getPort());
+    }
+
+    /** The roster is at another address from now on; what is out at the old one is asked again there. */
+    public void move(InetSocketAddress address) {
+        if (uri.equals(uri(address))) {
+            return;
+        }
+        uri = uri(address);
+        LOG.info("roster is at {} from now on", uri.getAuthority());
+        boolean watched = watch != null;
+        for (Exchange old : List.copyOf(open)) {
+            old.close(); // unheard: that the old address ends its watches is no failure of the new one's
+            if (!old.watches) {
+                fetch();
+            }
+        }
+        watch = null;
+        watch(watched);
+    }
+
     /** The list that the node knew before. */
     public void known(RosterUpdate update) {
         generation = update.generation();
@@ -82,6 +109,7 @@
         }
 
         void start() {
+            open.add(this);
             expectWithin(CONNECT_WITHIN_NS);
             UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
                 @Override
@@ -201,6 +229,7 @@
 
         private void close() {
             over = true;
+            open.remove(this);
             silence.remove();
             IoUtils.safeClose(connection);
         }
--- a/src/test/java/trailthread/node/ClientSideTest.java
+++ b/src/test/java/trailthread/node/ClientSideTest.java
@@ -110,6 +110,33 @@
         worker.wasNotAsked();
     }
 
+    /** The descriptors of a node are few: clients that idle must not shut others out. */
+    @Test
+    public void moreClientsThanConnectionsAreAllServed() throws Exception {
+        stage.sockets = 96; // 28 connections to clients
+        stage.start(Stage.SETTINGS, stage.add(Peer.serving("made")));
+        for (int i = 0; i < 60; i++) {
+            assertEquals("made", stage.call("use").body()); // and the connection stays open
+        }
+    }
+
+    /** Such connections were never counted: hundreds of them kept every client with a call waiting. */
+    @Test
+    public void silentAndHalfSentCallsEndAndShutNobodyOut() throws Exception {
+        stage.sockets = 96;
+        stage.start(Stage.SETTINGS, stage.add(Peer.serving("made")));
+        String call = Stage.request("use", "", "");
+        Socket[] useless = new Socket[60];
+        for (int i = 0; i < useless.length; i++) {
+            useless[i] = stage.connect();
+            Message.send(useless[i], call.substring(0, i * (call.length() - 1) / useless.length));
+        }
+        assertEquals("made", stage.call("use").body());
+        for (Socket client : useless) {
+            assertNull("closed without an answer", Message.read(client));
+        }
+    }
+
     @Test
     public void whatAClientSendsAheadIsTheNextCall() throws Exception {
         Peer worker = stage.add(new Peer(request -> {
--- a/src/test/java/trailthread/node/NodeConfigTest.java
+++ b/src/test/java/trailthread/node/NodeConfigTest.java
@@ -6,6 +6,8 @@
 
 import java.io.StringReader;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import org.junit.Test;
 import trailthread.BalancerApi.Semantics;
@@ -60,4 +62,28 @@
             assertTrue(e.getMessage(), e.getMessage().contains(c[1]) && e.getMessage().lines().count() == 1);
         }
     }
+
+    /** The variable is as old as the start; but a file that says nothing new must not undo it. */
+    @Test
+    public void aReloadFollowsTheFileOnceItChanges() throws Exception {
+        Path file = Files.createTempFile("trailthread", ".json");
+        try {
+            Map<String, String> told = Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", "10.9.0.1:85");
+            NodeConfig config = parse(GOOD, told);
+            String[][] cases = {
+                {GOOD, "10.9.0.1"},
+                {GOOD.replace("10.2.0.1", "10.2.0.2"), "10.2.0.2"},
+                {GOOD.replace("10.2.0.1", "10.2.0.2"), "10.2.0.2"},
+                {GOOD.replace("\"discovery\"", "\"other\""), "10.2.0.2"},
+                {GOOD, "10.2.0.1"},
+            };
+            for (String[] c : cases) {
+                Files.writeString(file, c[0]);
+                config = config.reload(told);
+                assertEquals(new InetSocketAddress(c[1], 85), config.discovery());
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
--- a/src/test/java/trailthread/node/RosterSideTest.java
+++ b/src/test/java/trailthread/node/RosterSideTest.java
@@ -96,4 +96,34 @@
         stage.roster.asked();
         assertEquals("first", stage.call("use").body());
     }
+
+    /** SIGHUP ended the program; and the old roster's end must not pass for a failure of the new one. */
+    @Test
+    public void onSighupTheWatchMovesAndAllElseStays() throws Exception {
+        stage.start(Stage.SETTINGS, first);
+        Message watch = stage.roster.asked();
+        Stage.line(watch, as("w1", Stage.list(7, true, "active", second)));
+        while (!stage.call("use").body().equals("second")) {
+            assertTrue(first.requests.size() < 100);
+        }
+        Peer moved = stage.add(new Peer(Stage::watch));
+        stage.reload("{\"name\":");
+        stage.logged("configuration not taken over: name");
+        for (int i = 0; i < 3; i++) { // several in a row are one move
+            stage.reload(stage.config(moved, Stage.SETTINGS, first));
+        }
+        Message movedWatch = moved.asked();
+        assertEquals("GET /v1/endpoints?stream=1&index=7 HTTP/1.1", movedWatch.start());
+        watch.connection().close();
+        assertEquals("the list stays", "second", stage.call("use").body());
+        Stage.line(movedWatch, Stage.list(8, true, "active", first));
+        while (!stage.call("use").body().equals("first")) {
+            assertTrue(second.requests.size() < 100);
+        }
+        moved.wasNotAsked();
+        stage.roster.wasNotAsked();
+        stage.terminate();
+        assertEquals(0, stage.exitStatus());
+        assertTrue(stage.log.toString(), stage.log.stream().noneMatch(line -> line.contains("WARN")));
+    }
 }
--- a/src/test/java/trailthread/node/Stage.java
+++ b/src/test/java/trailthread/node/Stage.java
@@ -57,6 +57,10 @@
     }
 
     String config(String settings, Peer... known) {
+        return config(roster, settings, known);
+    }
+
+    String config(Peer roster, String settings, Peer... known) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + roster.hostPort()
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
                 + list(1, true, "active", known) + ",\"settings\":{" + settings + "}}";
@@ -139,6 +143,12 @@
                 + (safe ? "\r\n" : "Content-Length: 4\r\n\r\npour");
     }
 
+    /** Replaces the configuration and says so, as the platform does. */
+    void reload(String json) throws IOException, InterruptedException {
+        Files.writeString(config, json);
+        new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor();
+    }
+
     /** Asks the program to end, as the platform does. */
     void terminate() {
         node.toHandle().destroy(); // the process's own destroy would close the log
