--- a/src/main/java/trailthread/node/Node.java
+++ b/src/main/java/trailthread/node/Node.java
@@ -73,8 +73,8 @@
     }
 
     /**
-     * Takes over where discovery is now; list, connections and calls stay. What the file says of anything else
-     * waits for the next start. The file is read beside the loop, one reading after the other.
+     * Takes over where discovery is now; list, connections and calls stay. What the file says of all else
+     * waits for the next start. The file is read beside the loop, one reading after another.
      */
     void reload(Map<String, String> environment) {
         loop.worker().execute(() -> {
--- a/src/main/java/trailthread/node/acceptor/ClientConnections.java
+++ b/src/main/java/trailthread/node/acceptor/ClientConnections.java
@@ -13,7 +13,7 @@
  * descriptor that a client with a call needs.
  */
 final class ClientConnections {
-    /** Within this of its opening, or of its last call's end, a connection brings the head of a call whole. */
+    /** A connection brings the head of its first call whole within this. */
     private static final long FIRST_HEAD_WITHIN_NS = 2_000_000_000L;
     /** A kept connection without a call is closed after so long, though there is room. */
     private static final long IDLE_NS = 15_000_000_000L;
