Speak to workers and roster over connections of our own on XNIO, reading strictly

At fault: Undertow's client, which Delegation used as it is. It reads nothing between requests, hides the connect so that it can't be taken back (a descriptor for two minutes), and drains before it closes. Hence XNIO for this part only; the clients' side stays on Undertow. UndertowClient is gone from the roster too, for its connects. Now AnswerDecoder (pure) tells noise at its first byte, bounds heads and headers, wants one clear length, skips 1xx; HttpConnection reads all the time, so what comes unasked closes it; a connect that is given up is taken back; a report that can't be read or is absurd is none, and hides no good one beside it. Waits for a peer end only after the sockets were looked at once more: the loop runs timers first, so a late loop gave up what had come in time. Ruled out: keeping a connection whose connect came up late; it hid the leak and is rare on this platform.

--- /dev/null
+++ b/src/main/java/trailthread/node/http/AnswerDecoder.java
@@ -0,0 +1,231 @@
+package trailthread.node.http;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Reads one HTTP/1.1 answer, however it comes in pieces; pure. Strict where two readers could differ on where
+ * an answer ends: Undertow's own client takes the first of two lengths, a negative one, and an interim answer
+ * for the final one, and serves what no worker made; it also waits for a head that never ends.
+ */
+final class AnswerDecoder {
+    private static final String VERSION = "HTTP/1.";
+    private static final int STATUS_AT = "HTTP/1.1 ".length();
+    private static final int LEAST_LINE = "HTTP/1.1 200".length();
+    /** For all that is not body, interim answers and the lines between chunks too. */
+    private static final int MOST_LINE_BYTES = 16 * 1024;
+
+    /** The header map throws at some more of one name. */
+    private static final int MOST_HEADERS = 100;
+
+    private enum State { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
+
+    private final AnswerListener out;
+    private final long mostBodyBytes;
+    private State state = State.STATUS;
+    private final StringBuilder line = new StringBuilder(64);
+    private int lineBytes;
+    private int headerCount;
+    private int status;
+    private HeaderMap headers = new HeaderMap();
+    /** Of the body or the chunk, yet to come. */
+    private long left;
+    private long bodyBytes;
+    private boolean lasting = true;
+
+    /**
+     * @param mostBodyBytes what promises or brings more is malformed
+     */
+    AnswerDecoder(AnswerListener out, long mostBodyBytes) {
+        this.out = out;
+        this.mostBodyBytes = mostBodyBytes;
+    }
+
+    boolean isWhole() {
+        return state == State.WHOLE;
+    }
+
+    /** Whether the connection may carry another request, by what the answer says. */
+    boolean isLasting() {
+        return lasting;
+    }
+
+    /** Takes in what has come, as far as it belongs to the answer. */
+    void decode(ByteBuffer in) throws MalformedAnswerException {
+        while (in.hasRemaining() && state != State.WHOLE) {
+            switch (state) {
+                case BODY, CHUNK -> piece(in);
+                default -> {
+                    if (completesLine(in)) {
+                        String whole = line.toString();
+                        line.setLength(0);
+                        take(whole);
+                    }
+                }
+            }
+        }
+    }
+
+    private void piece(ByteBuffer in) throws MalformedAnswerException {
+        int count = (int) Math.min(left, in.remaining());
+        grow(count);
+        ByteBuffer piece = in.slice(in.position(), count);
+        in.position(in.position() + count);
+        left -= count;
+        out.body(piece);
+        if (left == 0) {
+            if (state == State.BODY) {
+                state = State.WHOLE;
+            } else {
+                state = State.CHUNK_END;
+            }
+        }
+    }
+
+    /** What comes to the body; more than the most is no answer. */
+    private void grow(long count) throws MalformedAnswerException {
+        bodyBytes += count;
+        if (bodyBytes > mostBodyBytes) {
+            throw new MalformedAnswerException("a body of more than " + mostBodyBytes + " bytes");
+        }
+    }
+
+    private boolean completesLine(ByteBuffer in) throws MalformedAnswerException {
+        while (in.hasRemaining()) {
+            char c = (char) (in.get() & 0xff);
+            if (++lineBytes > MOST_LINE_BYTES) {
+                throw new MalformedAnswerException("a head without end");
+            }
+            if (c == '\n') {
+                int last = line.length() - 1;
+                if (last >= 0 && line.charAt(last) == '\r') {
+                    line.setLength(last);
+                }
+                return true;
+            }
+            line.append(c);
+            int at = line.length() - 1; // noise is told at once: it may never bring a line's end
+            if (state == State.STATUS && at < VERSION.length() && c != VERSION.charAt(at)) {
+                throw new MalformedAnswerException("no HTTP");
+            }
+        }
+        return false;
+    }
+
+    private void take(String whole) throws MalformedAnswerException {
+        switch (state) {
+            case STATUS -> {
+                status = status(whole);
+                lasting = whole.startsWith("HTTP/1.1");
+                headers = new HeaderMap();
+                state = State.HEADERS;
+            }
+            case HEADERS -> {
+                if (whole.isEmpty()) {
+                    headEnds();
+                } else {
+                    header(whole);
+                }
+            }
+            case CHUNK_SIZE -> {
+                left = chunkSize(whole);
+                state = left == 0 ? State.TRAILERS : State.CHUNK;
+            }
+            case CHUNK_END -> {
+                if (!whole.isEmpty()) {
+                    throw new MalformedAnswerException("a chunk longer than its size");
+                }
+                lineBytes = 0; // a watch has no end of chunks
+                state = State.CHUNK_SIZE;
+            }
+            default -> { // trailers, which say nothing that is used here
+                if (whole.isEmpty()) {
+                    state = State.WHOLE;
+                }
+            }
+        }
+    }
+
+    private static int status(String line) throws MalformedAnswerException {
+        boolean shaped = line.length() >= LEAST_LINE && line.startsWith(VERSION)
+                && line.charAt(STATUS_AT - 1) == ' '
+                && (line.length() == LEAST_LINE || line.charAt(LEAST_LINE) == ' ');
+        long status = shaped ? whole(line.substring(STATUS_AT, LEAST_LINE), 10) : -1;
+        if (status < 100) {
+            throw new MalformedAnswerException("no status");
+        }
+        return (int) status;
+    }
+
+    private void header(String line) throws MalformedAnswerException {
+        int colon = line.indexOf(':');
+        for (int i = 0; i < colon; i++) {
+            char c = line.charAt(i);
+            if (c <= ' ' || c >= 0x7f) {
+                colon = 0;
+            }
+        }
+        if (++headerCount > MOST_HEADERS) {
+            throw new MalformedAnswerException("headers without end");
+        }
+        if (colon <= 0) {
+            throw new MalformedAnswerException("a header without a name");
+        }
+        headers.add(new HttpString(line.substring(0, colon).getBytes(StandardCharsets.ISO_8859_1)),
+                line.substring(colon + 1).strip());
+    }
+
+    private void headEnds() throws MalformedAnswerException {
+        if (status == 101) {
+            throw new MalformedAnswerException("another protocol, unasked");
+        }
+        if (status < 200) {
+            state = State.STATUS;
+            return;
+        }
+        if ("close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION))) {
+            lasting = false;
+        }
+        boolean chunked = headers.contains(Headers.TRANSFER_ENCODING);
+        int lengths = headers.count(Headers.CONTENT_LENGTH);
+        if (lengths > 1 || chunked && (lengths > 0 || headers.count(Headers.TRANSFER_ENCODING) > 1
+                || !"chunked".equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING)))) {
+            throw new MalformedAnswerException("an unclear length");
+        }
+        boolean bare = status == 204 || status == 304;
+        if (lengths == 0 && !chunked && !bare) {
+            throw new MalformedAnswerException("no length, so that a break would pass for its end");
+        }
+        left = lengths == 1 ? whole(headers.getFirst(Headers.CONTENT_LENGTH), 10) : 0;
+        if (left < 0 || left > mostBodyBytes) {
+            throw new MalformedAnswerException("a length that can't be");
+        }
+        state = chunked ? State.CHUNK_SIZE : bare || left == 0 ? State.WHOLE : State.BODY;
+        out.head(status, headers);
+    }
+
+    private static long chunkSize(String line) throws MalformedAnswerException {
+        int extension = line.indexOf(';');
+        long size = whole((extension < 0 ? line : line.substring(0, extension)).strip(), 16);
+        if (size < 0) {
+            throw new MalformedAnswerException("a chunk without a size");
+        }
+        return size;
+    }
+
+    /** A whole number of digits alone, or -1. */
+    private static long whole(String digits, int radix) {
+        if (digits.isEmpty() || digits.length() > 15) {
+            return -1;
+        }
+        for (int i = 0; i < digits.length(); i++) {
+            if (digits.charAt(i) >= 0x80 || Character.digit(digits.charAt(i), radix) < 0) {
+                return -1;
+            }
+        }
+        return Long.parseLong(digits, radix);
+    }
+}
--- /dev/null
+++ b/src/main/java/trailthread/node/http/AnswerListener.java
@@ -0,0 +1,19 @@
+package trailthread.node.http;
+
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+
+/** Hears one answer as it comes: its head, its body in pieces, and its end or that there will be none. */
+public interface AnswerListener {
+    /** The head has come whole; interim ones (1xx) are not told of. */
+    void head(int status, HeaderMap headers);
+
+    /** A piece of the body; to be read before this returns. */
+    void body(ByteBuffer piece);
+
+    /** The answer is whole. */
+    void whole();
+
+    /** The answer is spoilt or the connection has ended; nothing further comes, and the connection closes. */
+    void broken(String how);
+}
--- /dev/null
+++ b/src/main/java/trailthread/node/http/HttpConnection.java
@@ -0,0 +1,182 @@
+package trailthread.node.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import trailthread.node.loop.Loop;
+
+/**
+ * A connection to an HTTP server that carries one request at a time. It reads all the time: what comes while
+ * no answer is due, be it the rest of a spoilt one, a second copy or the connection's end, closes it and
+ * so never reaches the next request. On XNIO, as Undertow's client reads nothing between requests, and can
+ * neither take back a connect nor end a connection before its request has drained.
+ */
+public final class HttpConnection {
+    private static final OptionMap TCP = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final Loop loop;
+    private final StreamConnection connection;
+    private final ConduitStreamSourceChannel source;
+    private final ConduitStreamSinkChannel sink;
+    private final Runnable closed;
+    private ByteBuffer unsent;
+    private AnswerListener listener;
+    private AnswerDecoder answer;
+    private boolean open = true;
+
+    private HttpConnection(Loop loop, StreamConnection connection, Runnable closed) {
+        this.loop = loop;
+        this.connection = connection;
+        this.closed = closed;
+        source = connection.getSourceChannel();
+        sink = connection.getSinkChannel();
+        source.setReadListener(readable -> read());
+        source.resumeReads();
+        sink.setWriteListener(writable -> write());
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param closed is run once when a connection that has come up is closed
+     * @param opened gets the connection, or null if it does not come up; never from within this call
+     * @return takes the connect back, descriptor and all; {@code opened} is not told then
+     */
+    public static Runnable open(Loop loop, InetSocketAddress server, Runnable closed,
+                                Consumer<HttpConnection> opened) {
+        if (server.isUnresolved()) {
+            loop.execute(() -> opened.accept(null));
+            return () -> { };
+        }
+        AtomicBoolean over = new AtomicBoolean();
+        IoFuture<StreamConnection> connect = loop.thread().openStreamConnection(server, null, TCP);
+        connect.addNotifier((done, none) -> loop.execute(() -> {
+            StreamConnection connection = result(done);
+            if (over.getAndSet(true)) {
+                IoUtils.safeClose(connection);
+            } else {
+                opened.accept(connection == null ? null : new HttpConnection(loop, connection, closed));
+            }
+        }), null);
+        return () -> {
+            if (!over.getAndSet(true)) {
+                connect.cancel();
+            }
+        };
+    }
+
+    private static StreamConnection result(IoFuture<? extends StreamConnection> done) {
+        try {
+            return done.getStatus() == IoFuture.Status.DONE ? done.get() : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** Sends a request; not to be called before the answer to the one before is whole. */
+    public void send(ByteBuffer request, long mostBodyBytes, AnswerListener hears) {
+        unsent = request;
+        listener = hears;
+        answer = new AnswerDecoder(hears, mostBodyBytes);
+        write();
+    }
+
+    /** Whether the request's last byte has been written. */
+    public boolean isSent() {
+        return unsent != null && !unsent.hasRemaining();
+    }
+
+    /** Looks once more at what has come; whether another request may be sent. */
+    public boolean isUsable() {
+        if (answer == null) {
+            read();
+        }
+        return open && answer == null;
+    }
+
+    /** Ends the connection at once, whatever is on it; nothing more is heard. */
+    public void close() {
+        listener = null;
+        answer = null;
+        if (open) {
+            open = false;
+            IoUtils.safeClose(connection);
+            closed.run();
+        }
+    }
+
+    private void write() {
+        try {
+            while (unsent != null && unsent.hasRemaining()) {
+                if (sink.write(unsent) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.suspendWrites();
+        } catch (IOException e) {
+            fail("breaks while the request is sent");
+        }
+    }
+
+    private void read() {
+        try (var pooled = loop.buffers().allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (open) {
+                buffer.clear();
+                int count = source.read(buffer);
+                if (count == 0) {
+                    return;
+                }
+                if (answer == null) {
+                    close(); // more than belongs to an answer, or the end
+                    return;
+                }
+                if (count < 0) {
+                    fail("ends before the answer is whole");
+                    return;
+                }
+                buffer.flip();
+                take(buffer);
+            }
+        } catch (IOException e) {
+            fail("breaks");
+        }
+    }
+
+    private void take(ByteBuffer bytes) {
+        AnswerDecoder decoder = answer;
+        try {
+            decoder.decode(bytes);
+        } catch (MalformedAnswerException e) {
+            fail("brings " + e.getMessage());
+            return;
+        }
+        if (answer == decoder && decoder.isWhole()) {
+            AnswerListener hears = listener;
+            listener = null;
+            answer = null;
+            if (!decoder.isLasting() || !isSent() || bytes.hasRemaining()) {
+                close();
+            }
+            hears.whole();
+        }
+    }
+
+    private void fail(String how) {
+        AnswerListener hears = listener;
+        close();
+        if (hears != null) {
+            hears.broken(how);
+        }
+    }
+}
--- a/src/main/java/trailthread/node/loop/Loop.java
+++ b/src/main/java/trailthread/node/loop/Loop.java
@@ -19,6 +19,7 @@
     private static final int BUFFER_BYTES = 16 * 1024;
     /** Buffers kept for use again; more are made when needed and let go afterwards. */
     private static final int BUFFERS_KEPT = 256;
+    private static final long LATE_NS = 4_000_000L;
     private static final int STACK_BYTES = 256 * 1024;
 
     private final XnioWorker worker;
@@ -61,6 +62,33 @@
         thread.execute(task);
     }
 
+    /**
+     * The same for the end of a wait for a peer. Guards against a loop that runs late: timers go before
+     * sockets, so what the peer has sent in time would be found only after it was given up.
+     */
+    public XnioExecutor.Key afterReading(long delayNs, Runnable task) {
+        long dueAt = now() + delayNs;
+        Wait wait = new Wait();
+        wait.key = after(delayNs, () -> {
+            if (now() - dueAt < LATE_NS) {
+                task.run();
+            } else {
+                wait.key = after(LATE_NS / 4, task);
+            }
+        });
+        return wait;
+    }
+
+    /** A wait that may be drawn out once. */
+    private static final class Wait implements XnioExecutor.Key {
+        private XnioExecutor.Key key;
+
+        @Override
+        public boolean remove() {
+            return key.remove();
+        }
+    }
+
     /** Runs a task on the thread once the delay is over; the key takes it back. */
     public XnioExecutor.Key after(long delayNs, Runnable task) {
         return thread.executeAfter(task, Math.max(0, delayNs), TimeUnit.NANOSECONDS);
--- a/src/main/java/trailthread/node/roster/Roster.java
+++ b/src/main/java/trailthread/node/roster/Roster.java
@@ -1,25 +1,19 @@
 package trailthread.node.roster;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
-import io.undertow.util.Headers;
-import io.undertow.util.Methods;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSourceChannel;
+import trailthread.node.http.AnswerListener;
+import trailthread.node.http.HttpConnection;
+import trailthread.node.http.RequestEncoder;
 import trailthread.node.loop.Loop;
 
 /** The roster's side: fetches the list and watches it, as the module asks. */
@@ -34,7 +28,7 @@
     private static final long LINE_WITHIN_NS = 4_500_000_000L;
 
     private final Loop loop;
-    private URI uri;
+    private InetSocketAddress address;
     private final RosterListener listener;
     /** The version held, or -1. */
     private long generation = -1;
@@ -45,21 +39,17 @@
 
     public Roster(Loop loop, InetSocketAddress address, RosterListener listener) {
         this.loop = loop;
-        this.uri = uri(address);
+        this.address = address;
         this.listener = listener;
     }
 
-    private static URI uri(InetSocketAddress address) {
-        return URI.create("http://" + address.getHostString() + ":" + address.getPort());
-    }
-
     /** The roster is at another address from now on; what is out at the old one is asked again there. */
-    public void move(InetSocketAddress address) {
-        if (uri.equals(uri(address))) {
+    public void move(InetSocketAddress to) {
+        if (address.equals(to)) {
             return;
         }
-        uri = uri(address);
-        LOG.info("roster is at {} from now on", uri.getAuthority());
+        address = to;
+        LOG.info("roster is at {} from now on", hostPort());
         boolean watched = watch != null;
         for (Exchange old : List.copyOf(open)) {
             old.close(); // unheard: that the old address ends its watches is no failure of the new one's
@@ -94,12 +84,18 @@
         new Exchange(false, PATH).start();
     }
 
+    private String hostPort() {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     /** One call to the roster: a watch goes on until it breaks, a fetch ends with its one object. */
-    private final class Exchange {
+    private final class Exchange implements AnswerListener {
         private final boolean watches;
         private final String target;
         private final RosterLines lines = new RosterLines();
-        private ClientConnection connection;
+        /** Takes back a connect that has not come up, or null. */
+        private Runnable connecting;
+        private HttpConnection connection;
         private XnioExecutor.Key silence;
         private boolean over;
 
@@ -111,84 +107,59 @@
         void start() {
             open.add(this);
             expectWithin(CONNECT_WITHIN_NS);
-            UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
-                @Override
-                public void completed(ClientConnection opened) {
-                    connection = opened;
-                    if (over) {
-                        IoUtils.safeClose(opened);
-                    } else {
-                        ask();
-                    }
-                }
-
-                @Override
-                public void failed(IOException e) {
+            connecting = HttpConnection.open(loop, address, () -> { }, opened -> {
+                connecting = null;
+                if (opened == null) {
                     fail("cannot be reached");
+                    return;
                 }
-            }, uri, loop.thread(), loop.buffers(), OptionMap.EMPTY);
+                connection = opened;
+                expectWithin(ANSWER_WITHIN_NS);
+                connection.send(new RequestEncoder("GET", target, hostPort()).encode(null), Long.MAX_VALUE,
+                        this);
+            });
         }
 
-        private void ask() {
-            expectWithin(ANSWER_WITHIN_NS);
-            ClientRequest head = new ClientRequest().setMethod(Methods.GET).setPath(target);
-            head.getRequestHeaders().put(Headers.HOST, uri.getAuthority());
-            connection.sendRequest(head, new ClientCallback<ClientExchange>() {
-                @Override
-                public void completed(ClientExchange exchange) {
-                    exchange.setResponseListener(new ClientCallback<>() {
-                        @Override
-                        public void completed(ClientExchange answered) {
-                            int status = answered.getResponse().getResponseCode();
-                            if (status != 200) {
-                                fail("answers " + status);
-                                return;
-                            }
-                            StreamSourceChannel channel = answered.getResponseChannel();
-                            channel.getReadSetter().set(readable -> read(channel));
-                            read(channel);
-                        }
-
-                        @Override
-                        public void failed(IOException e) {
-                            fail("breaks off");
-                        }
-                    });
-                }
+        @Override
+        public void head(int status, HeaderMap headers) {
+            if (status != StatusCodes.OK) {
+                fail("answers " + status);
+            }
+        }
 
-                @Override
-                public void failed(IOException e) {
-                    fail("breaks off");
+        @Override
+        public void body(ByteBuffer piece) {
+            if (over) {
+                return;
+            }
+            expectWithin(LINE_WITHIN_NS);
+            try {
+                for (String line : lines.add(piece)) {
+                    take(line);
                 }
-            });
+            } catch (IOException e) {
+                fail(e.getMessage());
+            }
         }
 
-        private void read(StreamSourceChannel channel) {
-            try (var pooled = loop.buffers().allocate()) {
-                ByteBuffer buffer = pooled.getBuffer();
-                while (!over) {
-                    buffer.clear();
-                    int count = channel.read(buffer);
-                    if (count < 0) {
-                        take(lines.rest());
-                        fail("ends the watch");
-                        return;
-                    }
-                    if (count == 0) {
-                        channel.resumeReads();
-                        return;
-                    }
-                    expectWithin(LINE_WITHIN_NS);
-                    buffer.flip();
-                    for (String line : lines.add(buffer)) {
-                        take(line);
-                    }
-                }
+        @Override
+        public void whole() {
+            if (over) {
+                return;
+            }
+            try {
+                take(lines.rest());
+                fail("ends the watch");
             } catch (IOException e) {
                 fail(e.getMessage());
             }
         }
 
+        @Override
+        public void broken(String how) {
+            fail(how);
+        }
+
         private void take(String line) throws IOException {
             if (over || line.isBlank()) {
                 return;
@@ -209,7 +180,7 @@
             if (silence != null) {
                 silence.remove();
             }
-            silence = loop.after(ns, () -> fail("is silent"));
+            silence = loop.afterReading(ns, () -> fail("is silent"));
         }
 
         private void fail(String how) {
@@ -231,7 +202,12 @@
             over = true;
             open.remove(this);
             silence.remove();
-            IoUtils.safeClose(connection);
+            if (connecting != null) {
+                connecting.run();
+            }
+            if (connection != null) {
+                connection.close();
+            }
         }
     }
 }
--- a/src/main/java/trailthread/node/worker/LoadReport.java
+++ b/src/main/java/trailthread/node/worker/LoadReport.java
@@ -9,10 +9,13 @@
 
 /** Reads a worker's load report; pure. */
 final class LoadReport {
+    /** No worker holds, serves or takes more; whoever tells of it tells nonsense. */
+    private static final double MOST = 1e6;
+
     private LoadReport() {
     }
 
-    /** The report, or null if there is none or it is malformed; unknown keys are skipped. */
+    /** The report, or null if there is none or it is malformed or absurd; unknown keys are skipped. */
     static Load parse(String json) {
         if (json == null) {
             return null;
@@ -50,6 +53,11 @@
         } catch (IOException | IllegalStateException | NumberFormatException e) {
             return null;
         }
+        for (double figure : new double[] {inflight, queue, util, latencyMs, qps, eps}) {
+            if (figure < 0 || figure > MOST) {
+                return null;
+            }
+        }
         return new Load(inflight, queue, util, latencyMs, qps, eps);
     }
 }
--- a/src/main/java/trailthread/node/worker/Worker.java
+++ b/src/main/java/trailthread/node/worker/Worker.java
@@ -1,6 +1,6 @@
 package trailthread.node.worker;
 
-import java.net.URI;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import trailthread.BalancerApi.State;
 
@@ -8,7 +8,7 @@
 final class Worker {
     final String instanceId;
     final String hostPort;
-    final URI uri;
+    final InetSocketAddress address;
     /** The last one used last. */
     final ArrayDeque<Connections.Idle> idle = new ArrayDeque<>();
     boolean listed = true;
@@ -18,7 +18,9 @@
     Worker(String instanceId, String hostPort) {
         this.instanceId = instanceId;
         this.hostPort = hostPort;
-        this.uri = URI.create("http://" + hostPort);
+        int colon = hostPort.lastIndexOf(':');
+        this.address = new InetSocketAddress(hostPort.substring(0, colon),
+                Integer.parseInt(hostPort.substring(colon + 1)));
     }
 
     void tell(State state, long now) {
--- a/src/main/java/trailthread/node/worker/WorkerAnswer.java
+++ b/src/main/java/trailthread/node/worker/WorkerAnswer.java
@@ -11,8 +11,16 @@
     private static final HttpString LOAD = new HttpString("X-Backend-Load");
 
     static WorkerAnswer decode(int status, HeaderMap headers) {
-        return new WorkerAnswer(status, "1".equals(headers.getFirst(UNPROCESSED)),
-                LoadReport.parse(headers.getFirst(LOAD)));
+        return new WorkerAnswer(status, "1".equals(headers.getFirst(UNPROCESSED)), load(headers));
+    }
+
+    /** The first report that can be read: one that can't does not spoil the answer, nor the next report. */
+    private static Load load(HeaderMap headers) {
+        Load load = null;
+        for (int i = 0; load == null && i < headers.count(LOAD); i++) {
+            load = LoadReport.parse(headers.get(LOAD, i));
+        }
+        return load;
     }
 
     /** What a whole answer means; what the protocol does not know claims least: it may have run. */
--- /dev/null
+++ b/src/test/java/trailthread/node/SpoiltAnswerTest.java
@@ -0,0 +1,107 @@
+package trailthread.node;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotEquals;
+import static org.junit.Assert.assertNotNull;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Test;
+
+/** What the node makes of answers that are spoilt, or that bring more than belongs to them. */
+public class SpoiltAnswerTest {
+    private static final String MADE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade";
+    private static final String ENDLESS = "X-More: " + "x".repeat(1000) + "\r\n";
+
+    private final Stage stage;
+
+    public SpoiltAnswerTest() throws Exception {
+        stage = new Stage();
+    }
+
+    @After
+    public void end() throws Exception {
+        stage.end();
+    }
+
+    /** The worker's connection stays open throughout, so that only the node can end the call. */
+    @Test
+    public void aSpoiltAnswerFailsTheCallAndItsConnectionIsClosed() throws Exception {
+        String[] spoilt = {
+            "\u0000\u0001\u0002 noise",
+            "HTTP/1.1 two hundred\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nno header\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n" + ENDLESS.repeat(100),
+            "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmade",
+            "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nmade",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nmade",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfour\r\nmade\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb2d05e00\r\nmade",
+        };
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        for (String answer : spoilt) {
+            worker.setScript(request -> Message.send(request.connection(), answer));
+            assertEquals(answer, 502, stage.call("use").status());
+            Socket closed = worker.closed.poll(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS);
+            assertEquals(answer, worker.asked().connection(), closed);
+            worker.setScript(request -> request.answer("200 OK", "", "made"));
+            assertEquals("made", stage.call("state").body());
+            worker.asked();
+        }
+    }
+
+    /** What follows an answer passed for the answer to the next call on that connection. */
+    @Test
+    public void whatFollowsAnAnswerNeverReachesTheNextCall() throws Exception {
+        String[] more = {MADE.replace("made", "copy"), "noise", "\r\n"};
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        for (String rest : more) {
+            worker.setScript(request -> Message.send(request.connection(), MADE + rest));
+            assertEquals("made", stage.call("use").body());
+            Socket spoilt = worker.asked().connection();
+            worker.setScript(request -> request.answer("200 OK", "", "next"));
+            assertEquals("next", stage.call("use").body());
+            assertNotEquals(spoilt, worker.asked().connection());
+        }
+    }
+
+    /** The same, when it comes after the connection was put away. */
+    @Test
+    public void aConnectionThatSpeaksUnaskedIsClosed() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        assertEquals("made", stage.call("use").body());
+        Socket idle = worker.asked().connection();
+        Message.send(idle, MADE.replace("made", "copy"));
+        assertEquals(idle, worker.closed.poll(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
+        assertEquals("made", stage.call("use").body());
+        assertNotEquals(idle, worker.asked().connection());
+    }
+
+    @Test
+    public void oddButGoodAnswersAreServed() throws Exception {
+        String[] good = {
+            "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + MADE,
+            MADE.replace("\r\n\r\n", "\r\nX-Backend-Load: {\"inflight\":-1,\"queue\":-9e99}\r\n\r\n"),
+            MADE.replace("\r\n\r\n", "\r\nX-Backend-Load: {{{{\u0001\u00ff\r\n\r\n"),
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\nma\r\n2\r\nde\r\n0\r\nA: b\r\n\r\n",
+        };
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        for (String answer : good) {
+            worker.setScript(request -> sendInPieces(request.connection(), answer));
+            assertEquals(answer, "made", stage.call("use").body());
+        }
+        assertNotNull(worker.asked());
+    }
+
+    private static void sendInPieces(Socket connection, String text) throws IOException {
+        for (int i = 0; i < text.length(); i += 7) {
+            Message.send(connection, text.substring(i, Math.min(text.length(), i + 7)));
+        }
+    }
+}
--- a/src/test/java/trailthread/node/worker/LoadReportTest.java
+++ b/src/test/java/trailthread/node/worker/LoadReportTest.java
@@ -28,7 +28,8 @@
     @Test
     public void whatIsMalformedIsNone() {
         for (String bad : new String[] {null, "", "7", "[]", "{", "{\"queue\":}", "{\"queue\":2", "{queue:2}",
-            "{\"queue\":2}x", "{\"queue\":NaN}", "null", "{\"queue\":2,}"}) {
+            "{\"queue\":2}x", "{\"queue\":NaN}", "null", "{\"queue\":2,}",
+            "{\"queue\":-1,\"inflight\":1}", "{\"queue\":1e99}", "{\"queue\":1e999}"}) {
             assertNull(bad, LoadReport.parse(bad));
         }
     }
