Tell latencies without connecting; turn away calls under an open id or with unfit heads

At fault: Delegation.end, which counted from the start of the connect, and KEPT_SHARE of 0.5. Now an answer's latency counts from the request, and connections are kept for 0.8 of the worker's time (their end is seen at once since they are read). Further: ids of calls at work are not taken again (409), headers that would not fit a worker's head or come twice, absurd work and waits past the class's deadline no longer reach the module; the warm-up may take 1.5 s.

--- a/src/main/java/trailthread/Balancer.java
+++ b/src/main/java/trailthread/Balancer.java
@@ -45,10 +45,8 @@
     private static final double LATENCY_WEIGHT = 0.1;
     /** A backend is open while its predicted time is within this multiple of its idle latency... */
     private static final double OPEN_WITHIN_FLOOR = 1.8;
-    /** ...and within this share of the mean aim; one that is slow even when idle, within the second. */
-    private static final double OPEN_WITHIN_AIM = 0.4, SLOW_WITHIN_AIM = 0.6;
-    /** A slow backend is open within this multiple of its idle latency: to as many as it has cores for. */
-    private static final double SLOW_WITHIN_FLOOR = 1.3;
+    /** ...and within this share of the mean aim. */
+    private static final double OPEN_WITHIN_AIM = 0.4;
     /** A backend holds tickets while its predicted time is within this multiple of the best one's. */
     private static final double NEAR_BEST = 2;
     /** A gap between answers of this many usual gaps means that the backend has slowed or stopped. */
@@ -278,7 +276,9 @@
     }
 
     @Override
-    public void peer(long now, int from, byte[] data) { } // nodes decide alone; nothing is asked of peers
+    public void peer(long now, int from, byte[] data) {
+        // Nodes decide alone; nothing is asked of peers.
+    }
 
     /** What comes after an attempt that did not serve: another, a wait, or the final answer. */
     private void again(Request r, long now) {
@@ -430,10 +430,8 @@
         return Math.min(LEAST_LIMIT, 1 / sharers);
     }
 
-    /** Danger: a backend that takes long when idle, but still in time, would be shut out however many wait. */
     private double mostLatency(Backend b) {
-        double slow = Math.min(SLOW_WITHIN_AIM * meanAim, SLOW_WITHIN_FLOOR * b.floor);
-        double most = Math.max(OPEN_WITHIN_AIM * meanAim, slow);
+        double most = OPEN_WITHIN_AIM * meanAim;
         return b.floor > 0 ? Math.min(most, OPEN_WITHIN_FLOOR * b.floor) : most;
     }
 
--- a/src/main/java/trailthread/node/Call.java
+++ b/src/main/java/trailthread/node/Call.java
@@ -119,7 +119,7 @@
 
     private void forgetIfDone() {
         if (finished && delegation == null) {
-            calls.forget(id);
+            calls.forget(id, client.id());
         }
     }
 }
--- a/src/main/java/trailthread/node/Calls.java
+++ b/src/main/java/trailthread/node/Calls.java
@@ -1,8 +1,10 @@
 package trailthread.node;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trailthread.Balancer;
@@ -26,6 +28,8 @@
     private final Workers workers;
     private final Decisions decisions = new Decisions();
     private final Map<Long, Call> calls = new HashMap<>();
+    /** The clients' ids of these. Workers tell copies of a call by its id. */
+    private final Set<String> openIds = new HashSet<>();
     private final long answerSlackNs;
     /** What takes longer to tell its load than the tightest aim is fit for nothing just now. */
     private final long probeWithinNs;
@@ -52,12 +56,18 @@
 
     @Override
     public Runnable take(ClientCall client, long deadline, Reply reply) {
+        openIds.add(client.id());
         Call call = new Call(this, ++lastId, client, deadline, reply);
         calls.put(lastId, call);
         call.taken();
         return call::gone;
     }
 
+    @Override
+    public boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
     // ---- what calls need ---------------------------------------------------------------------------
 
     long now() {
@@ -80,8 +90,9 @@
         return answerSlackNs;
     }
 
-    void forget(long id) {
+    void forget(long id, String clientsId) {
         calls.remove(id);
+        openIds.remove(clientsId);
     }
 
     // ---- actions -----------------------------------------------------------------------------------
--- a/src/main/java/trailthread/node/WarmUp.java
+++ b/src/main/java/trailthread/node/WarmUp.java
@@ -31,9 +31,9 @@
 final class WarmUp implements CallTaker {
     private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
     private static final String SELF = "self";
-    /** Code is compiled after some 200 runs, and what is rare in a call later; on half a core that takes long. */
+    /** Code is compiled after some 200 runs, and what is rare in a call later. */
     private static final int MOST_CALLS = 1000;
-    /** A start must not wait longer than this: by then other nodes have long taken over, and wait for it. */
+    /** A start must not wait longer than this: other nodes serve its clients meanwhile. */
     private static final long LONGEST_NS = 1_500_000_000L;
     private static final long CALL_WITHIN_NS = 500_000_000L;
     private static final byte[] BODY = "x".repeat(512).getBytes(StandardCharsets.US_ASCII);
@@ -89,6 +89,11 @@
                 CALL_WITHIN_NS, this::next);
     }
 
+    @Override
+    public boolean isOpen(String id) {
+        return real.isOpen(id);
+    }
+
     /** The node's own calls come twice: as a client's, and then as they reach the worker. */
     @Override
     public Runnable take(ClientCall call, long deadline, Reply reply) {
--- a/src/main/java/trailthread/node/acceptor/Acceptor.java
+++ b/src/main/java/trailthread/node/acceptor/Acceptor.java
@@ -123,9 +123,12 @@
         }
         exchange.dispatch(SameThreadExecutor.INSTANCE,
                 () -> new BodyReader(loop, exchange, owedBy - loop.now(), body -> {
-                    if (head == null || body == null) {
-                        reject(exchange, head == null ? StatusCodes.BAD_REQUEST
-                                : StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+                    if (head == null) {
+                        reject(exchange, StatusCodes.BAD_REQUEST);
+                    } else if (body == null) {
+                        reject(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+                    } else if (taker.isOpen(head.id())) {
+                        reject(exchange, StatusCodes.CONFLICT); // the worker would take it for a copy
                     } else {
                         take(exchange, head.withBody(body), headersAt);
                     }
--- a/src/main/java/trailthread/node/acceptor/CallDecoder.java
+++ b/src/main/java/trailthread/node/acceptor/CallDecoder.java
@@ -19,6 +19,10 @@
     static final HttpString FACTS = new HttpString("X-Facts");
     static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
 
+    private static final int MOST_LETTERS = 1024;
+    /** What claims more would spoil what the module knows of work in general. */
+    private static final long MOST_WORK_NS = 3_600_000_000_000L;
+
     private final Map<String, RequestClass> classes = new HashMap<>();
 
     CallDecoder(List<RequestClass> classes) {
@@ -34,17 +38,25 @@
         if (requestClass == null || !firstPart(path).equals(name)) {
             throw new BadCallException("no such class at this path");
         }
-        String key = headers.getFirst(IDEMPOTENCY_KEY);
+        String key = optional(headers, IDEMPOTENCY_KEY);
         boolean keyed = requestClass.semantics() == Semantics.KEYED;
         boolean safe = requestClass.semantics() == Semantics.SAFE;
         if (!method.equals(safe ? "GET" : "POST") || keyed != (key != null)) {
             throw new BadCallException("method or Idempotency-Key do not suit the class");
         }
-        String facts = headers.getFirst(FACTS);
-        return new ClientCall(required(headers, CORRELATION_ID), name, headers.getFirst(ACCOUNT),
-                nanoseconds(required(headers, TIME_LEFT), TIME_LEFT), "1".equals(headers.getFirst(REPEAT)),
-                fact(facts, "expected_ns", 10), fact(facts, "entity", 16), method,
-                query.isEmpty() ? path : path + "?" + query, key, null);
+        String target = query.isEmpty() ? path : path + "?" + query;
+        if (!isVisible(target)) {
+            throw new BadCallException("the path can't be passed on");
+        }
+        String facts = optional(headers, FACTS);
+        long workNs = fact(facts, "expected_ns", 10);
+        if (workNs < 0 || workNs > MOST_WORK_NS) {
+            throw new BadCallException("no call takes so much work");
+        }
+        long timeLeftNs = nanoseconds(required(headers, TIME_LEFT), TIME_LEFT);
+        return new ClientCall(required(headers, CORRELATION_ID), name, optional(headers, ACCOUNT),
+                Math.min(timeLeftNs, requestClass.deadlineNs()), "1".equals(headers.getFirst(REPEAT)),
+                workNs, fact(facts, "entity", 16), method, target, key, null);
     }
 
     /** A figure of the form name=value,name=value; 0 if it is absent or none. */
@@ -70,13 +82,32 @@
     }
 
     private static String required(HeaderMap headers, HttpString name) throws BadCallException {
+        String value = optional(headers, name);
+        if (value == null || value.isEmpty()) {
+            throw new BadCallException(name + " must be given");
+        }
+        return value;
+    }
+
+    /** Guards workers, too: what they can't read would end their connection, and count as their failure. */
+    private static String optional(HeaderMap headers, HttpString name) throws BadCallException {
         String value = headers.getFirst(name);
-        if (value == null || value.isEmpty() || headers.count(name) > 1) {
-            throw new BadCallException(name + " must be given once");
+        boolean once = headers.count(name) <= 1;
+        if (value != null && !(once && value.length() <= MOST_LETTERS && isVisible(value))) {
+            throw new BadCallException(name + " must be given once, in visible letters");
         }
         return value;
     }
 
+    private static boolean isVisible(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) > '~') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static long nanoseconds(String seconds, HttpString name) throws BadCallException {
         long ns = Seconds.parse(seconds);
         if (ns < 0) {
--- a/src/main/java/trailthread/node/acceptor/CallTaker.java
+++ b/src/main/java/trailthread/node/acceptor/CallTaker.java
@@ -9,4 +9,7 @@
      * @return what to run if the client goes away before it is answered
      */
     Runnable take(ClientCall call, long deadline, Reply reply);
+
+    /** Whether a call with this id is at work; another one may not be taken beside it. */
+    boolean isOpen(String id);
 }
--- a/src/main/java/trailthread/node/worker/Connections.java
+++ b/src/main/java/trailthread/node/worker/Connections.java
@@ -10,7 +10,7 @@
 /** The connections to the workers: opened when needed, kept while idle, bounded over all. */
 final class Connections {
     /** An idle connection is dropped after this share of the time that the worker leaves it open. */
-    private static final double KEPT_SHARE = 0.5;
+    private static final double KEPT_SHARE = 0.8;
 
     /** A connection with no request on it, and what will drop it. */
     static final class Idle {
--- a/src/main/java/trailthread/node/worker/Delegation.java
+++ b/src/main/java/trailthread/node/worker/Delegation.java
@@ -33,6 +33,8 @@
     /** Takes back a connect that has not come up, or null. */
     private Runnable connecting;
     private HttpConnection connection;
+    /** When the request was written, or began to be. */
+    private long sentAt;
     private boolean over;
     private WorkerAnswer answer;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
@@ -89,6 +91,7 @@
             return;
         }
         connection = to;
+        sentAt = now;
         RequestEncoder head = new RequestEncoder(request.method(), request.target(), worker.hostPort);
         if (!request.isProbe()) {
             head.header("X-Correlation-Id", request.id())
@@ -120,7 +123,7 @@
     public void whole() {
         connections.keep(worker, connection);
         connection = null;
-        end(answer.outcome());
+        endedAfter(loop.now() - sentAt, answer.outcome());
     }
 
     @Override
@@ -135,6 +138,15 @@
     }
 
     private void end(Outcome outcome) {
+        endedAfter(loop.now() - startedAt, outcome);
+    }
+
+    /**
+     * The latency of an answer is told without the opening of the connection. Guards against a worker that is
+     * rarely asked, so that its connections idle out: each call there would open one, pass for slow with it,
+     * and keep the module from asking more, also when the others are full.
+     */
+    private void endedAfter(long latencyNs, Outcome outcome) {
         if (over) {
             return;
         }
@@ -156,6 +168,6 @@
         if (load == null && made != null && request.isProbe()) {
             load = LoadReport.parse(new String(made, StandardCharsets.UTF_8));
         }
-        ended.accept(new Ending(outcome, loop.now() - startedAt, load, made));
+        ended.accept(new Ending(outcome, latencyNs, load, made));
     }
 }
--- /dev/null
+++ b/src/test/java/trailthread/node/worker/LatencyTest.java
@@ -0,0 +1,62 @@
+package trailthread.node.worker;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.State;
+import trailthread.node.loop.Loop;
+import trailthread.node.roster.RosterEntry;
+import trailthread.node.roster.RosterUpdate;
+
+/** What is told of how long a worker took. */
+public class LatencyTest {
+    private static final long LONG_NS = 60_000_000_000L;
+
+    /** A rarely asked worker passed for slow by its handshakes, and so was asked ever less. */
+    @Test
+    public void theOpeningOfAConnectionIsNoSignOfLoad() throws Exception {
+        Loop loop = new Loop("test");
+        Workers workers = new Workers(loop, LONG_NS, LONG_NS, 0, 16);
+        BlockingQueue<Ending> endings = new LinkedBlockingQueue<>();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket first = new Socket(server.getInetAddress(), server.getLocalPort());
+                Socket second = new Socket(server.getInetAddress(), server.getLocalPort())) {
+            loop.execute(() -> {
+                workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
+                        "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now());
+                workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4]),
+                        LONG_NS, endings::add);
+            });
+            assertTrue(first.isConnected() && second.isConnected());
+            Thread.sleep(200); // the backlog is full: the connect gets no reply
+            long hungUntil = loop.now();
+            server.accept().close();
+            server.accept().close();
+            try (Socket late = server.accept()) {
+                assertTrue(late.getInputStream().read() >= 0);
+                OutputStream out = late.getOutputStream();
+                String answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+                out.write(answer.getBytes(StandardCharsets.US_ASCII));
+                Ending ending = endings.poll(30, TimeUnit.SECONDS);
+                assertNotNull("the delegation ends", ending);
+                assertEquals(Outcome.OK, ending.outcome());
+                assertTrue(ending.latencyNs() <= loop.now() - hungUntil);
+            }
+        } finally {
+            loop.worker().shutdownNow();
+        }
+        assertTrue("it has ended once", endings.isEmpty());
+    }
+}
