--- a/src/main/java/trailthread/node/WarmUp.java
+++ b/src/main/java/trailthread/node/WarmUp.java
@@ -31,10 +31,10 @@
 final class WarmUp implements CallTaker {
     private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
     private static final String SELF = "self";
-    /** Code is compiled after some 200 runs, and what is rare in a call later. */
-    private static final int MOST_CALLS = 1000;
-    /** A start must not wait longer than this: other nodes serve its clients meanwhile. */
-    private static final long LONGEST_NS = 1_500_000_000L;
+    /** Code is compiled after some 200 runs. */
+    private static final int MOST_CALLS = 300;
+    /** A start must not wait longer for it: at a restart, the others serve this node's clients meanwhile. */
+    private static final long LONGEST_NS = 600_000_000L;
     private static final long CALL_WITHIN_NS = 500_000_000L;
     private static final byte[] BODY = "x".repeat(512).getBytes(StandardCharsets.US_ASCII);
 
--- a/src/main/java/trailthread/node/http/AnswerDecoder.java
+++ b/src/main/java/trailthread/node/http/AnswerDecoder.java
@@ -69,9 +69,8 @@
         }
     }
 
-    private void piece(ByteBuffer in) throws MalformedAnswerException {
+    private void piece(ByteBuffer in) {
         int count = (int) Math.min(left, in.remaining());
-        grow(count);
         ByteBuffer piece = in.slice(in.position(), count);
         in.position(in.position() + count);
         left -= count;
@@ -85,7 +84,7 @@
         }
     }
 
-    /** What comes to the body; more than the most is no answer. */
+    /** A chunk is to come; what promises more than the most is no answer. */
     private void grow(long count) throws MalformedAnswerException {
         bodyBytes += count;
         if (bodyBytes > mostBodyBytes) {
@@ -207,12 +206,13 @@
         out.head(status, headers);
     }
 
-    private static long chunkSize(String line) throws MalformedAnswerException {
+    private long chunkSize(String line) throws MalformedAnswerException {
         int extension = line.indexOf(';');
         long size = whole((extension < 0 ? line : line.substring(0, extension)).strip(), 16);
         if (size < 0) {
             throw new MalformedAnswerException("a chunk without a size");
         }
+        grow(size);
         return size;
     }
 
--- a/src/test/java/trailthread/node/http/AnswerDecoderTest.java
+++ b/src/test/java/trailthread/node/http/AnswerDecoderTest.java
@@ -107,7 +107,8 @@
             OK + "Transfer-Encoding: gzip\r\n\r\n",
             OK + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", OK + "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
             OK + "Transfer-Encoding: chunked\r\n\r\n\r\n", OK + "Transfer-Encoding: chunked\r\n\r\n1\r\nab",
-            OK + "Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890",
+            OK + "Transfer-Encoding: chunked\r\n\r\nb\r\n",
+            OK + "Transfer-Encoding: chunked\r\n\r\n6\r\n012345\r\n5\r\n",
             OK + "X-Pad: p\r\n".repeat(2000), OK + "X-Pad: " + "p".repeat(20_000),
         };
         for (String answer : bad) {
