--- a/src/main/java/trailthread/node/WarmUp.java
+++ b/src/main/java/trailthread/node/WarmUp.java
@@ -34,7 +34,7 @@
     /** Code is compiled after some 200 runs. */
     private static final int MOST_CALLS = 300;
     /** A start must not wait longer for it: at a restart, the others serve this node's clients meanwhile. */
-    private static final long LONGEST_NS = 600_000_000L;
+    private static final long LONGEST_NS = 400_000_000L;
     private static final long CALL_WITHIN_NS = 500_000_000L;
     private static final byte[] BODY = "x".repeat(512).getBytes(StandardCharsets.US_ASCII);
 
