Do not take the first time-out in a row for a backend's latency

Checked with the module's view in the log, each 150 ms: one server after the other went from 20 to 30 ms to 77, 140 and 160 ms with a single failure (f1) and rested as jammed (r1), its limit down to 0.1, until the node's whole room was 1.3. At fault: the call of took() for every TIMEOUT in learn(). Now a time-out counts from the second failure in a row on; in a jam they come in rows.

--- a/src/main/java/trailthread/Balancer.java
+++ b/src/main/java/trailthread/Balancer.java
@@ -314,8 +314,9 @@
             case ERROR, TIMEOUT, RESET, CONNECT_FAILED -> {
                 b.trust -= LATENCY_WEIGHT * b.trust;
                 b.failures++;
-                if (outcome == Outcome.TIMEOUT) {
-                    took(b, r.outAtSend[attempt], latency, now); // danger: in a jam nothing else comes back
+                // Dangers: in a jam nothing else comes back; but the first in a row may be one lost answer.
+                if (outcome == Outcome.TIMEOUT && b.failures > 1) {
+                    took(b, r.outAtSend[attempt], latency, now);
                 }
                 if (b.failures >= EJECT_AFTER) {
                     int doublings = Math.min(b.failures - EJECT_AFTER, EJECT_DOUBLINGS);
