When crowded, close client connections that idle or are silent for 0.1 s

Seen on the incident: 96% of calls from 15 s on timed out, unserved, with the nodes' I/O threads asleep. Checked on the sockets while it ran: 200 and 201 connections established at the bound of 201, 281 waiting to be accepted. At fault: ClientConnections.makeRoom, which freed idle connections only after 2 s: 100 a second, where 420 came; what was accepted at last had been given up by its client. Ruled out: a hanging loop (stack dumps), descriptors (247 of 384), calls that never end (the log is quiet). Now past seven eighths of the bound 0.1 s is enough; a client whose call crosses the close sends it again. The test of more clients than connections goes through it, but only takes less time by it: a test that fails is still owed.

--- a/src/main/java/trailthread/node/acceptor/ClientConnections.java
+++ b/src/main/java/trailthread/node/acceptor/ClientConnections.java
@@ -23,6 +23,12 @@
     private static final long SPEAKS_WITHIN_NS = 250_000_000L;
     /** Past this share of the most, unused connections are closed to make room. */
     private static final double KEPT_SHARE = 0.75;
+    /**
+     * Past this share, those that idle or are silent for this long are closed, too. Guards against a crowd
+     * that opens a connection for each call: at the bound, new ones wait until their clients have gone.
+     */
+    private static final double CROWDED_SHARE = 0.875;
+    private static final long CROWDED_NS = 100_000_000L;
     private static final long LOOKED_AT_EVERY_NS = 50_000_000L;
 
     private final Loop loop;
@@ -89,10 +95,18 @@
         while (closeFirst(silent, now - FIRST_HEAD_WITHIN_NS) || closeFirst(idle, now - IDLE_NS)) {
             continue;
         }
-        while (silent.size() + idle.size() + busy.size() > KEPT_SHARE * most
+        while (size() > KEPT_SHARE * most
                 && (closeFirst(idle, now - KEPT_AT_LEAST_NS) || closeFirst(silent, now - SPEAKS_WITHIN_NS))) {
             continue;
         }
+        while (size() > CROWDED_SHARE * most
+                && (closeFirst(idle, now - CROWDED_NS) || closeFirst(silent, now - CROWDED_NS))) {
+            continue;
+        }
+    }
+
+    private int size() {
+        return silent.size() + idle.size() + busy.size();
     }
 
     /** Closes the first of these, if it has been so since then or longer. */
