Keep far workers open whose idle latency is past the usual share of the aim

A trace of limits each quarter second showed the workers of other zones at the least limit (0.06): their idle latency, 35 ms with the way, is past 0.4 of the mean aim (34 ms), so each answer cut them, and the two healthy workers of the zone took all until they jammed. Ruled out: ejections (two of ten) and the budget of repeats (20 of 20 left).

Test: HeldTest, 376 of 500 refused before, 8 now.

--- a/src/main/java/trailthread/Balancer.java
+++ b/src/main/java/trailthread/Balancer.java
@@ -45,8 +45,8 @@
     private static final double LATENCY_WEIGHT = 0.1;
     /** A backend is open while its predicted time is within this multiple of its idle latency... */
     private static final double OPEN_WITHIN_FLOOR = 1.8;
-    /** ...and within this share of the mean aim. */
-    private static final double OPEN_WITHIN_AIM = 0.4;
+    /** ...and within this share of the mean aim; but a far one, idle, is past that: it has this multiple. */
+    private static final double OPEN_WITHIN_AIM = 0.4, OPEN_FAR = 1.3;
     /** A backend holds tickets while its predicted time is within this multiple of the best one's. */
     private static final double NEAR_BEST = 2;
     /** A gap between answers of this many usual gaps means that the backend has slowed or stopped. */
@@ -440,8 +440,9 @@
     }
 
     private double mostLatency(Backend b) {
-        double most = OPEN_WITHIN_AIM * meanAim;
-        return b.floor > 0 ? Math.min(most, OPEN_WITHIN_FLOOR * Math.max(b.floor, finest)) : most;
+        double idle = Math.max(b.floor > 0 ? b.floor : pool.floor, finest);
+        double most = Math.max(OPEN_WITHIN_AIM * meanAim, OPEN_FAR * idle);
+        return b.floor > 0 ? Math.min(most, OPEN_WITHIN_FLOOR * idle) : most;
     }
 
     /**
--- a/src/test/java/trailthread/HeldTest.java
+++ b/src/test/java/trailthread/HeldTest.java
@@ -72,4 +72,22 @@
         s.pass(MS);
         assertEquals("it may have run, so it is not refused", List.of(id), s.failed);
     }
+
+    /** Idle latencies of 95 ms are past the usual share of the aim, 80: nobody is crowded. A few go at the start. */
+    @Test
+    public void nothingIsHeldBackFromWorkersThatAreFar() {
+        Script s = new Script(Script.settings(), 7);
+        s.backends("a", "b");
+        int ended = 0;
+        for (int step = 0; step < 4000; step++) {
+            if (step % 8 == 0) {
+                s.request("safe");
+            }
+            s.pass(5 * MS);
+            while (ended < s.sends.size() && s.sends.get(ended).at() <= s.now - 95 * MS) {
+                s.end(s.sends.get(ended++).id(), Outcome.OK);
+            }
+        }
+        assertTrue("refused of 500: " + s.refused.size(), s.refused.size() < 25);
+    }
 }
