Take no worker for silent within what matters against the aim

Cause: a test of a stopped node failed now and then, a safe call having run twice. Where workers answer in a millisecond, one counted as silent after 2.5 ms, unsafe calls waited behind it, and the test's calls were not all out before their first time-out of a second. The usual time of a worker is now at least a fiftieth of the tightest aim, as elsewhere in the module.

Test: LostAnswerTest.aQuickBackendIsNotSilentAtOnce, which fails without.

--- a/src/main/java/trailthread/Balancer.java
+++ b/src/main/java/trailthread/Balancer.java
@@ -320,8 +320,9 @@
                 boolean overtaken = at < b.newestAnswered;
                 // a giant may be overtaken, too, and has more time
                 int doublings = overtaken ? 0 : Math.min(b.unanswered, EJECT_DOUBLINGS);
-                double usual = Math.max(b.latency, meanLatency);
-                if (usual == 0 || now - at < (overtaken ? PATIENCE : JAMMED) * usual * (1 << doublings)) {
+                double known = Math.max(b.latency, meanLatency);
+                double usual = Math.max(known, finest); // workers of a millisecond are not silent after three
+                if (known == 0 || now - at < (overtaken ? PATIENCE : JAMMED) * usual * (1 << doublings)) {
                     return;
                 }
                 s.r.lost[s.attempt] = true;
--- a/src/test/java/trailthread/LostAnswerTest.java
+++ b/src/test/java/trailthread/LostAnswerTest.java
@@ -66,6 +66,20 @@
         assertEquals(1, s.sendsOf(s.request("unsafe")).size());
     }
 
+    /** Three milliseconds are nothing where the aim is 200, though answers usually take one. */
+    @Test
+    public void aQuickBackendIsNotSilentAtOnce() {
+        s.backends("a");
+        for (int i = 0; i < 200; i++) {
+            long id = s.request("unsafe");
+            s.pass(MS);
+            s.end(id, Outcome.OK);
+        }
+        s.request("safe");
+        s.pass(5 * MS);
+        assertEquals(1, s.sendsOf(s.request("unsafe")).size());
+    }
+
     /** A frozen backend answers none of its trials, and gets fewer and fewer. */
     @Test
     public void trialsOfASilentBackendGrowRare() {
