--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What there is to do here; deploy/balancer.toml holds the commands that the platform runs.
 .PHONY: build test lint run bench clean
 
-MVN = mvn -B -ntp
+MVN = mvn
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 LB_CONFIG ?= deploy/example.json
 
@@ -22,8 +22,8 @@
 # The node and Undertow's proxy before the same workers; docs/benchmarks.md says what the options are.
 BENCH_ARGS ?= --rounds 1 --seconds 3 --warm-up 2
 bench: build
-	$(MVN) -q dependency:build-classpath -Dmdep.includeScope=test -Dmdep.outputFile=target/bench.classpath
-	java -cp "target/test-classes:target/classes:$$(cat target/bench.classpath)" \
+	$(MVN) -q -pl benchmarks dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp "benchmarks/target/classes:$$(cat benchmarks/target/classpath)" \
 		trailthread.benchmark.Comparison $(BENCH_ARGS)
 
 clean:
--- a/src/main/java/trailthread/adapter/Adapter.java
+++ b/adapter/src/main/java/trailthread/adapter/Adapter.java
@@ -14,6 +14,8 @@
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.Settings;
 import trailthread.BalancerApi.State;
+import trailthread.settings.SettingsParser;
+import trailthread.settings.WireException;
 
 /** Brings the wire's events to the balancers, one per instance, and their actions back; decides nothing. */
 public final class Adapter {
--- a/src/main/java/trailthread/adapter/WireReader.java
+++ b/adapter/src/main/java/trailthread/adapter/WireReader.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import trailthread.settings.WireException;
 
 /** Reads tab-separated lines; the parts of the current line are parsed on demand, without copies. */
 final class WireReader {
--- a/src/test/java/trailthread/benchmark/Comparison.java
+++ b/benchmarks/src/main/java/trailthread/benchmark/Comparison.java
@@ -18,7 +18,7 @@
  */
 public final class Comparison {
     private static final Path DEPLOY = Path.of("deploy", "balancer.toml");
-    private static final Path CONFIG = Path.of("target", "benchmark.json");
+    private static final Path CONFIG = Path.of("benchmarks", "target", "benchmark.json");
     private static final Pattern SERVES = Pattern.compile("serves? on .*?([0-9,]+)$");
     private static final Pattern MEASURING = Pattern.compile("^measuring$");
     private static final Pattern MEASURED = Pattern.compile("^measured$");
--- a/src/main/java/trailthread/node/ConfigException.java
+++ b/daemon/src/main/java/trailthread/daemon/ConfigException.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 /** The configuration is not usable; the message names the key and what was expected. */
 final class ConfigException extends Exception {
--- a/src/main/java/trailthread/node/Main.java
+++ b/daemon/src/main/java/trailthread/daemon/Main.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
--- a/src/main/java/trailthread/node/ModuleDrill.java
+++ b/daemon/src/main/java/trailthread/daemon/ModuleDrill.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/trailthread/node/NoManagement.java
+++ b/daemon/src/main/java/trailthread/daemon/NoManagement.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import javax.management.MBeanServerBuilder;
 
--- a/src/main/java/trailthread/node/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,17 +14,18 @@
 import trailthread.BalancerApi.Reports;
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.State;
-import trailthread.node.acceptor.Acceptor;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
-import trailthread.node.meter.NodeView;
-import trailthread.node.operator.OperatorEndpoint;
-import trailthread.node.roster.Roster;
-import trailthread.node.roster.RosterEntry;
-import trailthread.node.roster.RosterListener;
-import trailthread.node.roster.RosterUpdate;
-import trailthread.node.service.Service;
-import trailthread.node.worker.Workers;
+import trailthread.daemon.acceptor.Acceptor;
+import trailthread.daemon.operator.OperatorEndpoint;
+import trailthread.engine.call.Calls;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeView;
+import trailthread.engine.roster.Roster;
+import trailthread.engine.roster.RosterEntry;
+import trailthread.engine.roster.RosterListener;
+import trailthread.engine.roster.RosterUpdate;
+import trailthread.engine.service.Service;
+import trailthread.engine.worker.Workers;
 
 /** One node: its parts, how they are joined, its start and its end. */
 final class Node implements RosterListener, NodeView {
--- a/src/main/java/trailthread/node/NodeConfig.java
+++ b/daemon/src/main/java/trailthread/daemon/NodeConfig.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import com.google.gson.Strictness;
 import com.google.gson.stream.JsonReader;
@@ -14,10 +14,10 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import trailthread.BalancerApi.Settings;
-import trailthread.adapter.SettingsParser;
-import trailthread.node.roster.RosterParser;
-import trailthread.node.roster.RosterUpdate;
-import trailthread.node.service.LevelsConfig;
+import trailthread.engine.roster.RosterParser;
+import trailthread.engine.roster.RosterUpdate;
+import trailthread.engine.service.LevelsConfig;
+import trailthread.settings.SettingsParser;
 
 /**
  * What a node is told at its start.
--- a/src/main/java/trailthread/node/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -14,16 +14,17 @@
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Semantics;
 import trailthread.BalancerApi.State;
-import trailthread.node.acceptor.CallTaker;
-import trailthread.node.acceptor.ClientCall;
-import trailthread.node.acceptor.Reply;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
-import trailthread.node.roster.RosterEntry;
-import trailthread.node.roster.RosterUpdate;
-import trailthread.node.worker.Ending;
-import trailthread.node.worker.WorkerRequest;
-import trailthread.node.worker.Workers;
+import trailthread.engine.call.CallTaker;
+import trailthread.engine.call.Calls;
+import trailthread.engine.call.ClientCall;
+import trailthread.engine.call.Reply;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.roster.RosterEntry;
+import trailthread.engine.roster.RosterUpdate;
+import trailthread.engine.worker.Ending;
+import trailthread.engine.worker.WorkerRequest;
+import trailthread.engine.worker.Workers;
 
 /**
  * Takes calls of the node's own through the whole path before clients come, so that their first calls do not
--- a/src/main/java/trailthread/node/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import io.undertow.UndertowOptions;
 import io.undertow.server.Connectors;
@@ -20,9 +20,11 @@
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
 import trailthread.BalancerApi.RequestClass;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
-import trailthread.node.meter.Rejection;
+import trailthread.engine.call.CallTaker;
+import trailthread.engine.call.ClientCall;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.Rejection;
 
 /** The clients' side: HTTP connections in, calls out to a {@link CallTaker}, its replies back. */
 public final class Acceptor {
--- a/src/main/java/trailthread/node/acceptor/BadCallException.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/BadCallException.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 /** A client's call is not one; the message says why. */
 final class BadCallException extends Exception {
--- a/src/main/java/trailthread/node/acceptor/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/BodyReader.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import io.undertow.server.HttpServerExchange;
 import java.io.ByteArrayOutputStream;
@@ -8,7 +8,7 @@
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
-import trailthread.node.loop.Loop;
+import trailthread.engine.loop.Loop;
 
 /**
  * Reads a request's body to its end, so that whatever is answered then reaches the client. Guards against
--- a/src/main/java/trailthread/node/acceptor/CallDecoder.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/CallDecoder.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
@@ -7,7 +7,8 @@
 import java.util.Map;
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Semantics;
-import trailthread.node.loop.Seconds;
+import trailthread.engine.call.ClientCall;
+import trailthread.engine.loop.Seconds;
 
 /** Reads a client's call out of its HTTP form; pure. */
 final class CallDecoder {
--- a/src/main/java/trailthread/node/acceptor/ClientConnection.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/ClientConnection.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
@@ -10,7 +10,7 @@
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
-import trailthread.node.loop.Loop;
+import trailthread.engine.loop.Loop;
 
 /** A connection from a client, and what is known of what came on it: it sees every byte that is read. */
 final class ClientConnection extends AbstractStreamSourceConduit<StreamSourceConduit> {
--- a/src/main/java/trailthread/node/acceptor/ClientConnections.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/ClientConnections.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.xnio.StreamConnection;
-import trailthread.node.loop.Loop;
+import trailthread.engine.loop.Loop;
 
 /**
  * The connections from clients, bounded. Guards against clients that take connections and make no use of
--- a/src/main/java/trailthread/node/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
@@ -8,8 +8,9 @@
 import java.nio.ByteBuffer;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
-import trailthread.node.loop.Loop;
-import trailthread.node.loop.Seconds;
+import trailthread.engine.call.Reply;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.loop.Seconds;
 
 /** Answers one call over HTTP, and notices when its client goes away. */
 final class HttpReply implements Reply {
--- a/src/main/java/trailthread/node/operator/Bodies.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Bodies.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import io.prometheus.metrics.expositionformats.ExpositionFormatWriter;
 import io.prometheus.metrics.expositionformats.OpenMetricsTextFormatWriter;
@@ -12,7 +12,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import trailthread.node.loop.Loop;
+import trailthread.engine.loop.Loop;
 
 /**
  * What the endpoint answers. The loop only takes the snapshot; it is rendered beside the loop, and then goes
--- a/src/main/java/trailthread/node/operator/ClassFigures.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/ClassFigures.java
@@ -1,6 +1,6 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
-import trailthread.node.meter.Answer;
+import trailthread.engine.meter.Answer;
 
 /** What became of the calls of one class. */
 final class ClassFigures {
--- a/src/main/java/trailthread/node/operator/Durations.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Durations.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import java.util.Arrays;
 
--- a/src/main/java/trailthread/node/operator/Exposition.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Exposition.java
@@ -1,21 +1,21 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import io.prometheus.metrics.expositionformats.ExpositionFormatWriter;
 import io.prometheus.metrics.model.snapshots.ClassicHistogramBuckets;
-import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.Exemplars;
-import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
 import io.prometheus.metrics.model.snapshots.GaugeSnapshot.GaugeDataPointSnapshot;
-import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot.HistogramDataPointSnapshot;
-import io.prometheus.metrics.model.snapshots.InfoSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import io.prometheus.metrics.model.snapshots.InfoSnapshot.InfoDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.InfoSnapshot;
 import io.prometheus.metrics.model.snapshots.Labels;
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshots;
-import io.prometheus.metrics.model.snapshots.StateSetSnapshot;
 import io.prometheus.metrics.model.snapshots.StateSetSnapshot.StateSetDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.StateSetSnapshot;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -24,8 +24,8 @@
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
 import trailthread.BalancerApi.Outcome;
-import trailthread.node.meter.Answer;
-import trailthread.node.meter.Rejection;
+import trailthread.engine.meter.Answer;
+import trailthread.engine.meter.Rejection;
 
 /** Tells a snapshot in Prometheus' terms; docs/operations.md explains each metric to operators. */
 final class Exposition {
--- a/src/main/java/trailthread/node/operator/Limits.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Limits.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 /**
  * What a client of the endpoint may take of the node, whoever it is.
--- a/src/main/java/trailthread/node/operator/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,10 +9,10 @@
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
-import trailthread.node.meter.Answer;
-import trailthread.node.meter.Meter;
-import trailthread.node.meter.NodeView;
-import trailthread.node.meter.Rejection;
+import trailthread.engine.meter.Answer;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeView;
+import trailthread.engine.meter.Rejection;
 
 /** Counts what happens in one node. Plain figures, as all of it happens on the loop's thread. */
 final class NodeMetrics implements Meter {
--- a/src/main/java/trailthread/node/operator/OperatorEndpoint.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import io.undertow.UndertowOptions;
 import io.undertow.server.AbstractServerConnection;
@@ -25,9 +25,9 @@
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
 import trailthread.BalancerApi.RequestClass;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
-import trailthread.node.meter.NodeView;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeView;
 
 /**
  * Tells operators of the node over HTTP: {@code /metrics} for Prometheus, {@code /status} in JSON,
--- a/src/main/java/trailthread/node/operator/ProcessFigures.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/ProcessFigures.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/main/java/trailthread/node/operator/Snapshot.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Snapshot.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import java.util.Map;
 
@@ -8,7 +8,7 @@
  * @param level        or null if the node has told of none
  * @param levelSince   Unix time in nanoseconds
  * @param levelChanges how often each level was entered from another one, in the order of levels
- * @param rejections   by the ordinal of {@link trailthread.node.meter.Rejection}
+ * @param rejections   by the ordinal of {@link trailthread.engine.meter.Rejection}
  * @param attempts     those ended, by the ordinal of {@link trailthread.BalancerApi.Outcome}; so are probes
  */
 record Snapshot(boolean ready, String level, long levelSince, Map<String, Long> levelChanges,
--- a/src/main/java/trailthread/node/operator/StatusJson.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/StatusJson.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import com.google.gson.stream.JsonWriter;
 import java.io.IOException;
@@ -7,8 +7,8 @@
 import java.time.Instant;
 import java.util.Map;
 import trailthread.BalancerApi.Outcome;
-import trailthread.node.meter.Answer;
-import trailthread.node.meter.Rejection;
+import trailthread.engine.meter.Answer;
+import trailthread.engine.meter.Rejection;
 
 /** Tells a snapshot as one JSON object, for people and scripts; what is not known is left out. */
 final class StatusJson {
--- a/src/test/java/trailthread/node/ClientSideTest.java
+++ b/daemon/src/test/java/trailthread/daemon/ClientSideTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNull;
@@ -7,6 +7,9 @@
 import java.net.Socket;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** What clients may rely on, over real sockets. */
 public class ClientSideTest {
--- a/src/test/java/trailthread/node/CrowdTest.java
+++ b/daemon/src/test/java/trailthread/daemon/CrowdTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -17,6 +17,8 @@
 import java.util.regex.Pattern;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** Guards against clients left without an answer where ten times as many connect as there is room for. */
 public class CrowdTest {
--- a/src/test/java/trailthread/node/LevelsTest.java
+++ b/daemon/src/test/java/trailthread/daemon/LevelsTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
@@ -9,6 +9,9 @@
 import java.util.regex.Pattern;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** The levels of service in the real program: polls are shed, what may not run twice is served on. */
 public class LevelsTest {
--- a/src/test/java/trailthread/node/ModuleDrillTest.java
+++ b/daemon/src/test/java/trailthread/daemon/ModuleDrillTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertTrue;
 
--- a/src/test/java/trailthread/node/NodeConfigTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNull;
@@ -12,8 +12,9 @@
 import java.util.Map;
 import org.junit.Test;
 import trailthread.BalancerApi.Semantics;
+import trailthread.engine.service.LevelsConfig;
 import trailthread.levels.Reading;
-import trailthread.node.service.LevelsConfig;
+import trailthread.testkit.Stage;
 
 /** What a node is told, right and wrong. */
 public class NodeConfigTest {
--- a/src/test/java/trailthread/node/OperatorOffTest.java
+++ b/daemon/src/test/java/trailthread/daemon/OperatorOffTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
@@ -14,10 +14,12 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
-import trailthread.node.meter.NodeView;
-import trailthread.node.operator.OperatorEndpoint;
+import trailthread.daemon.operator.OperatorEndpoint;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeView;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** A node whose operators want nothing, and without levels, pays nothing: no class, thread or descriptor. */
 public class OperatorOffTest {
@@ -103,7 +105,7 @@
     }
 
     private static boolean loads(String log) {
-        return log.contains("trailthread.node.operator.") || log.contains("io.prometheus.");
+        return log.contains("trailthread.daemon.operator.") || log.contains("io.prometheus.");
     }
 
     @Test
@@ -125,10 +127,10 @@
             Files.writeString(config, stage.config(Stage.SETTINGS));
             String log =
                     run("serves on", Map.of("LB_CONFIG", config.toString()), Main.class.getName(), "serve");
-            assertTrue("what this test looks for", log.contains("trailthread.node.loop.Loop "));
+            assertTrue("what this test looks for", log.contains("trailthread.engine.loop.Loop "));
             assertFalse("a class is loaded", loads(log));
             assertFalse("a class of the levels is loaded",
-                    log.contains("trailthread.levels.") || log.contains("trailthread.node.service."));
+                    log.contains("trailthread.levels.") || log.contains("trailthread.engine.service."));
         } finally {
             Files.delete(config);
             stage.end();
--- a/src/test/java/trailthread/node/PauseTest.java
+++ b/daemon/src/test/java/trailthread/daemon/PauseTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -12,6 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** Guards against calls that are lost or run twice where the node or workers stand still. */
 public class PauseTest {
--- a/src/test/java/trailthread/node/RollingRestartTest.java
+++ b/daemon/src/test/java/trailthread/daemon/RollingRestartTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -17,6 +17,9 @@
 import java.util.regex.Pattern;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** Guards against calls that are lost or run twice while a pair of nodes is restarted in turn under load. */
 public class RollingRestartTest {
--- a/src/test/java/trailthread/node/RosterSideTest.java
+++ b/daemon/src/test/java/trailthread/daemon/RosterSideTest.java
@@ -1,10 +1,13 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** How the node follows the roster, and goes on without it, over real sockets. */
 public class RosterSideTest {
--- a/src/test/java/trailthread/node/SpoiltAnswerTest.java
+++ b/daemon/src/test/java/trailthread/daemon/SpoiltAnswerTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotEquals;
@@ -9,6 +9,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** What the node makes of answers that are spoilt, or that bring more than belongs to them. */
 public class SpoiltAnswerTest {
--- a/src/test/java/trailthread/node/StartAndStopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
@@ -9,6 +9,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** How the program starts, refuses to start, and ends. */
 public class StartAndStopTest {
--- a/src/test/java/trailthread/node/WorkerSideTest.java
+++ b/daemon/src/test/java/trailthread/daemon/WorkerSideTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.daemon;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotEquals;
@@ -14,6 +14,9 @@
 import java.util.concurrent.locks.LockSupport;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
 
 /** What workers may rely on, and what the node makes of their answers, over real sockets. */
 public class WorkerSideTest {
--- a/src/test/java/trailthread/node/acceptor/CallDecoderTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/CallDecoderTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertThrows;
@@ -10,6 +10,7 @@
 import trailthread.BalancerApi.Group;
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Semantics;
+import trailthread.engine.call.ClientCall;
 
 /** Clients' calls, right and wrong. */
 public class CallDecoderTest {
--- a/src/test/java/trailthread/node/acceptor/LateLoopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.daemon.acceptor;
 
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotNull;
@@ -20,8 +20,11 @@
 import trailthread.BalancerApi.Group;
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Semantics;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
+import trailthread.engine.call.CallTaker;
+import trailthread.engine.call.ClientCall;
+import trailthread.engine.call.Reply;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
 
 /**
  * No call that has come whole is lost because the loop runs late: its timers are due before it has looked at
--- a/src/test/java/trailthread/node/operator/FiguresTest.java
+++ b/daemon/src/test/java/trailthread/daemon/operator/FiguresTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
@@ -23,8 +23,8 @@
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
-import trailthread.node.meter.Answer;
-import trailthread.node.meter.Rejection;
+import trailthread.engine.meter.Answer;
+import trailthread.engine.meter.Rejection;
 
 /** What is counted, and how it is told. */
 public class FiguresTest {
@@ -169,7 +169,8 @@
         attempt("w0", Outcome.OK, 1);
         Set<String> told = matches("(?m)^# TYPE (\\S+ \\S+)$", text());
         Set<String> explained =
-                matches("(?m)^\\| `(\\w+)` \\| (\\w+) \\|", Files.readString(Path.of("docs/operations.md")));
+                matches("(?m)^\\| `(\\w+)` \\| (\\w+) \\|",
+                        Files.readString(Path.of("../docs/operations.md")));
         assertEquals(told, explained);
         assertTrue(told.toString(), told.size() > 30);
     }
--- a/src/test/java/trailthread/node/operator/OperatorEndpointTest.java
+++ b/daemon/src/test/java/trailthread/daemon/operator/OperatorEndpointTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertThrows;
@@ -26,8 +26,8 @@
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Semantics;
 import trailthread.BalancerApi.State;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
 
 /** The endpoint over real sockets: what it answers, and what no client of it can do. */
 public class OperatorEndpointTest {
--- a/src/test/java/trailthread/node/operator/View.java
+++ b/daemon/src/test/java/trailthread/daemon/operator/View.java
@@ -1,9 +1,9 @@
-package trailthread.node.operator;
+package trailthread.daemon.operator;
 
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Semaphore;
-import trailthread.node.meter.NodeView;
+import trailthread.engine.meter.NodeView;
 
 /** A node that always says the same of itself, and counts how often a snapshot was taken. */
 final class View implements NodeView {
--- a/src/main/java/trailthread/adapter/SettingsParser.java
+++ b/decisions/src/main/java/trailthread/settings/SettingsParser.java
@@ -1,4 +1,4 @@
-package trailthread.adapter;
+package trailthread.settings;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -23,7 +23,8 @@
         this.where = where;
     }
 
-    void add(String pair) {
+    /** Adds a pair written as {@code path=value}. */
+    public void add(String pair) {
         int at = pair.indexOf('=');
         if (at <= 0) {
             throw new WireException(where, "options", "path=value, got '" + pair + "'");
--- a/src/test/java/trailthread/levels/PlanTest.java
+++ b/decisions/src/test/java/trailthread/levels/PlanTest.java
@@ -56,7 +56,7 @@
                         + c.leave() / unit + " | " + c.holdNs() / 1e9 + " |");
             }
         }
-        List<String> rows = Files.readAllLines(Path.of("docs/levels.md")).stream()
+        List<String> rows = Files.readAllLines(Path.of("../docs/levels.md")).stream()
                 .filter(line -> line.matches("\\| (lean|reduced|essential) \\|.*[0-9] \\|")).toList();
         assertEquals(String.join("\n", expected), String.join("\n", rows));
     }
--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
 # Starts a node once, up to where it is ready, and records the classes that this loads: later starts map them from
-# target/trailthread.jsa instead of reading and checking jars. A start without the archive is only slower, so whatever
+# daemon/target/trailthread.jsa instead of reading and checking jars. A start without the archive is only slower, so whatever
 # goes wrong here leaves the build as it is.
 cd "$(dirname "$0")/.." || exit 0
 work=$(mktemp -d) || exit 0
-rm -f target/trailthread.jsa
+rm -f daemon/target/trailthread.jsa
 LB_CONFIG=deploy/example.json LB_LISTEN=127.0.0.1:0 LB_DISCOVERY=127.0.0.1:1 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx48m \
-    -XX:ArchiveClassesAtExit=target/trailthread.jsa -jar target/trailthread.jar serve >"$work/log" 2>&1 &
+    -XX:ArchiveClassesAtExit=daemon/target/trailthread.jsa -jar daemon/target/trailthread.jar serve >"$work/log" 2>&1 &
 node=$!
 tries=0
 until grep -q ' serves on ' "$work/log" || [ $tries -ge 300 ] || ! kill -0 $node 2>/dev/null; do
@@ -15,6 +15,6 @@
 done
 kill -TERM $node 2>/dev/null
 wait $node
-[ -f target/trailthread.jsa ] || { echo "no class archive was made:"; cat "$work/log"; } >&2
+[ -f daemon/target/trailthread.jsa ] || { echo "no class archive was made:"; cat "$work/log"; } >&2
 rm -rf "$work"
 exit 0
--- a/src/main/java/trailthread/node/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -1,15 +1,13 @@
-package trailthread.node;
+package trailthread.engine.call;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
 import trailthread.BalancerApi.Outcome;
-import trailthread.node.acceptor.ClientCall;
-import trailthread.node.acceptor.Reply;
-import trailthread.node.meter.Answer;
-import trailthread.node.worker.Delegation;
-import trailthread.node.worker.Ending;
-import trailthread.node.worker.WorkerRequest;
+import trailthread.engine.meter.Answer;
+import trailthread.engine.worker.Delegation;
+import trailthread.engine.worker.Ending;
+import trailthread.engine.worker.WorkerRequest;
 
 /** The life of one call, from top to bottom: taken, choice, delegation, outcome, answer. */
 final class Call {
--- a/src/main/java/trailthread/node/acceptor/CallTaker.java
+++ b/engine/src/main/java/trailthread/engine/call/CallTaker.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.engine.call;
 
 /** Takes the calls that clients make. */
 public interface CallTaker {
--- a/src/main/java/trailthread/node/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.engine.call;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,16 +15,13 @@
 import trailthread.BalancerApi.ListKind;
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
-import trailthread.node.acceptor.CallTaker;
-import trailthread.node.acceptor.ClientCall;
-import trailthread.node.acceptor.Reply;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Meter;
-import trailthread.node.roster.Roster;
-import trailthread.node.worker.Workers;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.roster.Roster;
+import trailthread.engine.worker.Workers;
 
 /** The calls at work, between the module that decides on them and the sockets that carry them. */
-final class Calls implements Actions, CallTaker {
+public final class Calls implements Actions, CallTaker {
     private static final Logger LOG = LoggerFactory.getLogger(Calls.class);
 
     private final Loop loop;
@@ -41,7 +38,7 @@
     private Predicate<String> mayProbe = backend -> true;
     private long lastId;
 
-    Calls(Loop loop, Workers workers, Settings settings, long seed, Meter meter) {
+    public Calls(Loop loop, Workers workers, Settings settings, long seed, Meter meter) {
         this.meter = meter;
         this.loop = loop;
         this.workers = workers;
@@ -51,22 +48,22 @@
     }
 
     /** Where the module's wishes about the list go; without one they are let be. */
-    void setRoster(Roster roster) {
+    public void setRoster(Roster roster) {
         this.roster = roster;
     }
 
     /** Which probes that the module asks for are made; without it, all. */
-    void setProbes(Predicate<String> mayProbe) {
+    public void setProbes(Predicate<String> mayProbe) {
         this.mayProbe = mayProbe;
     }
 
     /** Tells the module which calls to take; null: all. */
-    void admit(Admission admission) {
+    public void admit(Admission admission) {
         decisions.event(null, module -> module.admit(admission));
     }
 
     /** Brings the module news of the workers. */
-    void list(ListKind kind, List<Entry> entries) {
+    public void list(ListKind kind, List<Entry> entries) {
         decisions.event(null, module -> module.list(now(), kind, entries));
     }
 
--- a/src/main/java/trailthread/node/acceptor/ClientCall.java
+++ b/engine/src/main/java/trailthread/engine/call/ClientCall.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.engine.call;
 
 /**
  * A client's call, decoded.
@@ -15,7 +15,7 @@
 public record ClientCall(String id, String requestClass, String account, long timeLeftNs, boolean repeat,
                          long workNs, long entity, String method, String target, String idempotencyKey,
                          byte[] body) {
-    ClientCall withBody(byte[] whole) {
+    public ClientCall withBody(byte[] whole) {
         return new ClientCall(id, requestClass, account, timeLeftNs, repeat, workNs, entity, method,
                 target, idempotencyKey, whole);
     }
--- a/src/main/java/trailthread/node/Decisions.java
+++ b/engine/src/main/java/trailthread/engine/call/Decisions.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.engine.call;
 
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
--- a/src/main/java/trailthread/node/acceptor/Reply.java
+++ b/engine/src/main/java/trailthread/engine/call/Reply.java
@@ -1,4 +1,4 @@
-package trailthread.node.acceptor;
+package trailthread.engine.call;
 
 /** How one call is answered: by exactly one of these. */
 public interface Reply {
--- a/src/main/java/trailthread/node/http/AnswerListener.java
+++ b/engine/src/main/java/trailthread/engine/http/AnswerListener.java
@@ -1,4 +1,4 @@
-package trailthread.node.http;
+package trailthread.engine.http;
 
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
--- a/src/main/java/trailthread/node/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -1,4 +1,4 @@
-package trailthread.node.http;
+package trailthread.engine.http;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,7 +12,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
-import trailthread.node.loop.Loop;
+import trailthread.engine.loop.Loop;
 
 /**
  * A connection to an HTTP server that carries one request at a time. It reads all the time: what comes while
--- a/src/main/java/trailthread/node/http/MalformedAnswerException.java
+++ b/engine/src/main/java/trailthread/engine/http/MalformedAnswerException.java
@@ -1,4 +1,4 @@
-package trailthread.node.http;
+package trailthread.engine.http;
 
 /** What has come is no answer; the message says why. */
 final class MalformedAnswerException extends Exception {
--- a/src/main/java/trailthread/node/http/RequestEncoder.java
+++ b/engine/src/main/java/trailthread/engine/http/RequestEncoder.java
@@ -1,4 +1,4 @@
-package trailthread.node.http;
+package trailthread.engine.http;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/trailthread/node/loop/Loop.java
+++ b/engine/src/main/java/trailthread/engine/loop/Loop.java
@@ -1,4 +1,4 @@
-package trailthread.node.loop;
+package trailthread.engine.loop;
 
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
--- a/src/main/java/trailthread/node/loop/Seconds.java
+++ b/engine/src/main/java/trailthread/engine/loop/Seconds.java
@@ -1,4 +1,4 @@
-package trailthread.node.loop;
+package trailthread.engine.loop;
 
 /** Durations as the protocol writes them: seconds with decimals. */
 public final class Seconds {
--- a/src/main/java/trailthread/node/loop/Turns.java
+++ b/engine/src/main/java/trailthread/engine/loop/Turns.java
@@ -1,4 +1,4 @@
-package trailthread.node.loop;
+package trailthread.engine.loop;
 
 /**
  * What the I/O thread knows of its own lateness; pure: time is handed in, as the monotonic clock has it, in
--- a/src/main/java/trailthread/node/loop/Wheel.java
+++ b/engine/src/main/java/trailthread/engine/loop/Wheel.java
@@ -1,4 +1,4 @@
-package trailthread.node.loop;
+package trailthread.engine.loop;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/trailthread/node/meter/Answer.java
+++ b/engine/src/main/java/trailthread/engine/meter/Answer.java
@@ -1,4 +1,4 @@
-package trailthread.node.meter;
+package trailthread.engine.meter;
 
 /** How a call that was taken was answered. */
 public enum Answer {
--- a/src/main/java/trailthread/node/meter/NodeView.java
+++ b/engine/src/main/java/trailthread/engine/meter/NodeView.java
@@ -1,4 +1,4 @@
-package trailthread.node.meter;
+package trailthread.engine.meter;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/trailthread/node/meter/Rejection.java
+++ b/engine/src/main/java/trailthread/engine/meter/Rejection.java
@@ -1,4 +1,4 @@
-package trailthread.node.meter;
+package trailthread.engine.meter;
 
 /** Why a client's request was answered without being taken as a call. */
 public enum Rejection {
--- a/src/main/java/trailthread/node/roster/Roster.java
+++ b/engine/src/main/java/trailthread/engine/roster/Roster.java
@@ -1,4 +1,4 @@
-package trailthread.node.roster;
+package trailthread.engine.roster;
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.StatusCodes;
@@ -11,10 +11,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
-import trailthread.node.http.AnswerListener;
-import trailthread.node.http.HttpConnection;
-import trailthread.node.http.RequestEncoder;
-import trailthread.node.loop.Loop;
+import trailthread.engine.http.AnswerListener;
+import trailthread.engine.http.HttpConnection;
+import trailthread.engine.http.RequestEncoder;
+import trailthread.engine.loop.Loop;
 
 /** The roster's side: fetches the list and watches it, as the module asks. */
 public final class Roster {
--- a/src/main/java/trailthread/node/roster/RosterListener.java
+++ b/engine/src/main/java/trailthread/engine/roster/RosterListener.java
@@ -1,4 +1,4 @@
-package trailthread.node.roster;
+package trailthread.engine.roster;
 
 /** Hears what the roster says. */
 public interface RosterListener {
--- a/src/main/java/trailthread/node/roster/RosterParser.java
+++ b/engine/src/main/java/trailthread/engine/roster/RosterParser.java
@@ -1,4 +1,4 @@
-package trailthread.node.roster;
+package trailthread.engine.roster;
 
 import com.google.gson.Strictness;
 import com.google.gson.stream.JsonReader;
--- a/src/main/java/trailthread/node/roster/RosterUpdate.java
+++ b/engine/src/main/java/trailthread/engine/roster/RosterUpdate.java
@@ -1,4 +1,4 @@
-package trailthread.node.roster;
+package trailthread.engine.roster;
 
 import java.util.List;
 
--- a/src/main/java/trailthread/node/service/CpuWithheld.java
+++ b/engine/src/main/java/trailthread/engine/service/CpuWithheld.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/src/main/java/trailthread/node/service/LevelsConfig.java
+++ b/engine/src/main/java/trailthread/engine/service/LevelsConfig.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
--- a/src/main/java/trailthread/node/service/MemoryInUse.java
+++ b/engine/src/main/java/trailthread/engine/service/MemoryInUse.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 /**
  * How much memory was in use after the last collection, as far as samples tell: use falls at no other time.
--- a/src/main/java/trailthread/node/service/ReportAge.java
+++ b/engine/src/main/java/trailthread/engine/service/ReportAge.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 /**
  * How old the youngest load report of any worker was when one was last owed and did not come; pure. Time in
--- a/src/main/java/trailthread/node/service/Service.java
+++ b/engine/src/main/java/trailthread/engine/service/Service.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,16 +17,16 @@
 import trailthread.BalancerApi.Reports;
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
-import trailthread.levels.Change;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Answer;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.Rejection;
 import trailthread.levels.Change.Cause;
+import trailthread.levels.Change;
 import trailthread.levels.Level;
 import trailthread.levels.Levels;
 import trailthread.levels.Reading;
 import trailthread.levels.Readings;
-import trailthread.node.loop.Loop;
-import trailthread.node.meter.Answer;
-import trailthread.node.meter.Meter;
-import trailthread.node.meter.Rejection;
 
 /**
  * The node's level of service: gathers the readings, four times a second, and does what the level says. It
--- a/src/main/java/trailthread/node/service/Starved.java
+++ b/engine/src/main/java/trailthread/engine/service/Starved.java
@@ -1,12 +1,12 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import trailthread.BalancerApi.RequestClass;
+import trailthread.engine.meter.Answer;
 import trailthread.levels.Lately;
 import trailthread.levels.ShedOrder;
-import trailthread.node.meter.Answer;
 
 /**
  * Which share of guarded calls lacked a worker of late: not served, or first sent to one later than a tenth
--- a/src/main/java/trailthread/node/worker/AnswerTime.java
+++ b/engine/src/main/java/trailthread/engine/worker/AnswerTime.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 /**
  * What is to be told of how long a worker took, where the node knows only that it was at least and at most so
--- a/src/main/java/trailthread/node/worker/Connections.java
+++ b/engine/src/main/java/trailthread/engine/worker/Connections.java
@@ -1,11 +1,11 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import trailthread.node.http.HttpConnection;
-import trailthread.node.loop.Loop;
+import trailthread.engine.http.HttpConnection;
+import trailthread.engine.loop.Loop;
 
 /** The connections to the workers: opened when needed, kept while idle, bounded over all. */
 final class Connections {
--- a/src/main/java/trailthread/node/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
@@ -8,11 +8,11 @@
 import org.xnio.XnioExecutor;
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
-import trailthread.node.http.AnswerListener;
-import trailthread.node.http.HttpConnection;
-import trailthread.node.http.RequestEncoder;
-import trailthread.node.loop.Loop;
-import trailthread.node.loop.Seconds;
+import trailthread.engine.http.AnswerListener;
+import trailthread.engine.http.HttpConnection;
+import trailthread.engine.http.RequestEncoder;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.loop.Seconds;
 
 /**
  * One attempt at a worker: a connection, the request, the answer, the ending. It is over, and its connection
--- a/src/main/java/trailthread/node/worker/Ending.java
+++ b/engine/src/main/java/trailthread/engine/worker/Ending.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
--- a/src/main/java/trailthread/node/worker/LoadReport.java
+++ b/engine/src/main/java/trailthread/engine/worker/LoadReport.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import com.google.gson.Strictness;
 import com.google.gson.stream.JsonReader;
--- a/src/main/java/trailthread/node/worker/Worker.java
+++ b/engine/src/main/java/trailthread/engine/worker/Worker.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
--- a/src/main/java/trailthread/node/worker/WorkerAnswer.java
+++ b/engine/src/main/java/trailthread/engine/worker/WorkerAnswer.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
--- a/src/main/java/trailthread/node/worker/WorkerRequest.java
+++ b/engine/src/main/java/trailthread/engine/worker/WorkerRequest.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 /**
  * What a worker is to be asked.
--- a/src/main/java/trailthread/node/worker/Workers.java
+++ b/engine/src/main/java/trailthread/engine/worker/Workers.java
@@ -1,13 +1,13 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
 import trailthread.BalancerApi.State;
-import trailthread.node.loop.Loop;
-import trailthread.node.roster.RosterEntry;
-import trailthread.node.roster.RosterUpdate;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.roster.RosterEntry;
+import trailthread.engine.roster.RosterUpdate;
 
 /** The workers that the roster has named, by instance, and the connections to them. */
 public final class Workers {
--- a/src/test/java/trailthread/node/DecisionsTest.java
+++ b/engine/src/test/java/trailthread/engine/call/DecisionsTest.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.engine.call;
 
 import static org.junit.Assert.assertEquals;
 
--- a/src/test/java/trailthread/node/http/AnswerDecoderTest.java
+++ b/engine/src/test/java/trailthread/engine/http/AnswerDecoderTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.http;
+package trailthread.engine.http;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertThrows;
--- a/src/test/java/trailthread/node/loop/MeterCost.java
+++ b/engine/src/test/java/trailthread/engine/loop/MeterCost.java
@@ -1,8 +1,8 @@
-package trailthread.node.loop;
+package trailthread.engine.loop;
 
 /**
  * What the loop's knowledge of its own lateness costs: a turn with one socket and four tasks, as for one call
- * alone, with and without the meter. Run by hand: {@code java -cp ... trailthread.node.loop.MeterCost}.
+ * alone, with and without the meter. Run by hand: {@code java -cp ... trailthread.engine.loop.MeterCost}.
  */
 public final class MeterCost {
     private static final int TURNS = 5_000_000;
--- a/src/test/java/trailthread/node/loop/WheelTest.java
+++ b/engine/src/test/java/trailthread/engine/loop/WheelTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.loop;
+package trailthread.engine.loop;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
--- a/src/test/java/trailthread/node/roster/RosterParserTest.java
+++ b/engine/src/test/java/trailthread/engine/roster/RosterParserTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.roster;
+package trailthread.engine.roster;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertThrows;
--- a/src/test/java/trailthread/node/service/LevelsConfigTest.java
+++ b/engine/src/test/java/trailthread/engine/service/LevelsConfigTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -32,7 +32,7 @@
         }
         assertTrue(known.toString(), known.contains("LEVEL.READING.hold_s"));
         Set<String> named = Pattern.compile("(?m)^\\| `levels\\.([A-Za-z_.]+)` \\|")
-                .matcher(Files.readString(Path.of("docs/levels.md"))).results()
+                .matcher(Files.readString(Path.of("../docs/levels.md"))).results()
                 .map((MatchResult row) -> row.group(1)).collect(Collectors.toCollection(TreeSet::new));
         assertEquals(known, named);
     }
--- a/src/test/java/trailthread/node/service/ReadingsTest.java
+++ b/engine/src/test/java/trailthread/engine/service/ReadingsTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.service;
+package trailthread.engine.service;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -15,8 +15,8 @@
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Semantics;
 import trailthread.BalancerApi.State;
+import trailthread.engine.meter.Answer;
 import trailthread.levels.ShedOrder;
-import trailthread.node.meter.Answer;
 
 /** How each reading is made of what the node sees. */
 public class ReadingsTest {
--- a/src/test/java/trailthread/node/worker/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
@@ -19,9 +19,9 @@
 import org.junit.Test;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
-import trailthread.node.loop.Loop;
-import trailthread.node.roster.RosterEntry;
-import trailthread.node.roster.RosterUpdate;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.roster.RosterEntry;
+import trailthread.engine.roster.RosterUpdate;
 
 /** What a worker has done in time is not held against it because the loop runs late. */
 public class LateLoopTest {
--- a/src/test/java/trailthread/node/worker/LatencyTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LatencyTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
@@ -16,9 +16,9 @@
 import org.junit.Test;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
-import trailthread.node.loop.Loop;
-import trailthread.node.roster.RosterEntry;
-import trailthread.node.roster.RosterUpdate;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.roster.RosterEntry;
+import trailthread.engine.roster.RosterUpdate;
 
 /** What is told of how long a worker took. */
 public class LatencyTest {
--- a/src/test/java/trailthread/node/worker/LoadReportTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LoadReportTest.java
@@ -1,4 +1,4 @@
-package trailthread.node.worker;
+package trailthread.engine.worker;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNull;
--- a/src/test/java/trailthread/node/Message.java
+++ b/testkit/src/main/java/trailthread/testkit/Message.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.testkit;
 
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
@@ -11,10 +11,10 @@
 import java.util.TreeMap;
 
 /** One HTTP message as it came, and the connection that it came on. */
-record Message(String start, Map<String, String> headers, String body, Socket connection) {
+public record Message(String start, Map<String, String> headers, String body, Socket connection) {
 
     /** Reads one whole message; null if the connection ends before it begins. */
-    static Message read(Socket connection) throws IOException {
+    public static Message read(Socket connection) throws IOException {
         InputStream in = connection.getInputStream();
         String start = line(in);
         if (start == null) {
@@ -46,21 +46,21 @@
         return line.toString(StandardCharsets.ISO_8859_1);
     }
 
-    String header(String name) {
+    public String header(String name) {
         return headers.get(name.toLowerCase(Locale.ROOT));
     }
 
-    int status() {
+    public int status() {
         return Integer.parseInt(start.split(" ")[1]);
     }
 
     /** Answers on the connection that this came on. */
-    void answer(String status, String headers, String body) throws IOException {
+    public void answer(String status, String headers, String body) throws IOException {
         send(connection, "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n" + headers
                 + "\r\n" + body);
     }
 
-    static void send(Socket connection, String text) throws IOException {
+    public static void send(Socket connection, String text) throws IOException {
         connection.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 }
--- a/src/test/java/trailthread/node/Peer.java
+++ b/testkit/src/main/java/trailthread/testkit/Peer.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.testkit;
 
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
@@ -16,48 +16,48 @@
 import java.util.concurrent.TimeUnit;
 
 /** A scripted peer of the node on loopback: what it is asked is recorded, and answered by its script. */
-final class Peer implements Closeable {
-    static final int LONGEST_WAIT_S = 30;
+public final class Peer implements Closeable {
+    public static final int LONGEST_WAIT_S = 30;
 
     /** What a peer does with a request. */
-    interface Script {
+    public interface Script {
         void act(Message request) throws IOException;
     }
 
-    final BlockingQueue<Message> requests = new LinkedBlockingQueue<>();
-    final BlockingQueue<Socket> closed = new LinkedBlockingQueue<>();
+    public final BlockingQueue<Message> requests = new LinkedBlockingQueue<>();
+    public final BlockingQueue<Socket> closed = new LinkedBlockingQueue<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
     private volatile Script script;
 
-    Peer(Script script) throws IOException {
+    public Peer(Script script) throws IOException {
         this.script = script;
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         thread(this::accept);
     }
 
     /** A peer that makes this body of every request. */
-    static Peer serving(String body) throws IOException {
+    public static Peer serving(String body) throws IOException {
         return new Peer(request -> request.answer("200 OK", "", body));
     }
 
-    String hostPort() {
+    public String hostPort() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    void setScript(Script script) {
+    public void setScript(Script script) {
         this.script = script;
     }
 
     /** The next request, which must come. */
-    Message asked() throws InterruptedException {
+    public Message asked() throws InterruptedException {
         Message request = requests.poll(LONGEST_WAIT_S, TimeUnit.SECONDS);
         assertNotNull("a request was to come", request);
         return request;
     }
 
     /** Nothing has come but what was looked at; to be called when what might have sent it is over. */
-    void wasNotAsked() {
+    public void wasNotAsked() {
         assertNull(requests.peek());
     }
 
--- a/src/test/java/trailthread/node/Stage.java
+++ b/testkit/src/main/java/trailthread/testkit/Stage.java
@@ -1,4 +1,4 @@
-package trailthread.node;
+package trailthread.testkit;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
@@ -20,11 +20,11 @@
 import java.util.regex.Pattern;
 
 /** The real program between scripted workers, a scripted roster and a client, all on loopback. */
-final class Stage {
+public final class Stage {
     private static final Pattern SERVES = Pattern.compile("serves on .*:(\\d+)");
 
     /** The settings of the tests: generous times, so that a slow machine changes no verdict. */
-    static final String SETTINGS = """
+    public static final String SETTINGS = """
             "categories":[
              {"name":"state","aim_ns":10000000000,"deadline_ns":20000000000,"semantics":"retryable"},
              {"name":"action","aim_ns":10000000000,"deadline_ns":20000000000,"semantics":"dedup",
@@ -38,24 +38,24 @@
 
     private static final AtomicLong LAST_ID = new AtomicLong(0x9b1f03aa5c7e2d40L);
 
-    final Peer roster = new Peer(Stage::watch);
+    public final Peer roster = new Peer(Stage::watch);
     /** What the program has written so far. */
-    final List<String> log = new CopyOnWriteArrayList<>();
+    public final List<String> log = new CopyOnWriteArrayList<>();
     private final List<Closeable> open = new ArrayList<>();
     private final Path config = Files.createTempFile("trailthread", ".json");
     private Process node;
-    int sockets = 256;
+    public int sockets = 256;
     /** Further keys of the configuration, each with a comma after it. */
-    String more = "";
+    public String more = "";
     /** Where the program serves, or did last. */
-    volatile int port;
+    public volatile int port;
 
-    Stage() throws IOException {
+    public Stage() throws IOException {
         open.add(roster);
     }
 
     /** Starts the node, once more if it has ended, with these settings and workers known; it then serves. */
-    Stage start(String settings, Peer... known) throws IOException, InterruptedException {
+    public Stage start(String settings, Peer... known) throws IOException, InterruptedException {
         log.clear();
         run(config(settings, known), "serve");
         Matcher serves = SERVES.matcher(logged("serves on"));
@@ -64,22 +64,22 @@
         return this;
     }
 
-    String config(String settings, Peer... known) {
+    public String config(String settings, Peer... known) {
         return config(roster, settings, known);
     }
 
-    String config(Peer roster, String settings, Peer... known) {
+    public String config(Peer roster, String settings, Peer... known) {
         return "{" + more + "\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + roster.hostPort()
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
                 + list(1, true, "active", known) + ",\"settings\":{" + settings + "}}";
     }
 
     /** Runs the program with this configuration; what it writes goes to the log. */
-    Process run(String json, String... args) throws IOException {
+    public Process run(String json, String... args) throws IOException {
         Files.writeString(config, json);
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "-Xmx64m", "trailthread.node.Main"));
+                "-cp", System.getProperty("java.class.path"), "-Xmx64m", "trailthread.daemon.Main"));
         command.addAll(List.of(args));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("LB_CONFIG", config.toString());
@@ -92,7 +92,7 @@
     }
 
     /** The first line of the log that holds this, which must come. */
-    String logged(String part) throws InterruptedException {
+    public String logged(String part) throws InterruptedException {
         for (int i = 0; i < 100 * Peer.LONGEST_WAIT_S; i++) {
             for (String line : log) {
                 if (line.contains(part)) {
@@ -105,7 +105,7 @@
     }
 
     /** An object of the roster with these workers, the first in cell 0 as w0, and so on. */
-    static String list(int generation, boolean reset, String lifecycle, Peer... workers) {
+    public static String list(int generation, boolean reset, String lifecycle, Peer... workers) {
         StringBuilder entries = new StringBuilder();
         for (int i = 0; i < workers.length; i++) {
             entries.append(i == 0 ? "" : ",").append("{\"instanceId\":\"w").append(i)
@@ -117,17 +117,17 @@
     }
 
     /** Opens a watch and says nothing. */
-    static void watch(Message request) throws IOException {
+    public static void watch(Message request) throws IOException {
         Message.send(request.connection(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     }
 
     /** Sends a line on a watch. */
-    static void line(Message watch, String line) throws IOException {
+    public static void line(Message watch, String line) throws IOException {
         Message.send(watch.connection(), Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
     }
 
     /** A client's connection. */
-    Socket connect() throws IOException {
+    public Socket connect() throws IOException {
         Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
         client.setSoTimeout(1000 * Peer.LONGEST_WAIT_S);
         open.add(client);
@@ -135,14 +135,14 @@
     }
 
     /** Sends a well-formed call of a class and reads its answer. */
-    Message call(String requestClass) throws IOException {
+    public Message call(String requestClass) throws IOException {
         Socket client = connect();
         Message.send(client, request(requestClass, "", ""));
         return Message.read(client);
     }
 
     /** A well-formed call of a class with a query and further headers, under an id of its own. */
-    static String request(String requestClass, String query, String headers) {
+    public static String request(String requestClass, String query, String headers) {
         boolean safe = requestClass.equals("state");
         return (safe ? "GET /" : "POST /") + requestClass + query + " HTTP/1.1\r\nHost: api.internal\r\n"
                 + "X-Correlation-Id: " + Long.toHexString(LAST_ID.incrementAndGet())
@@ -153,34 +153,34 @@
     }
 
     /** Replaces the configuration and says so, as the platform does. */
-    void reload(String json) throws IOException, InterruptedException {
+    public void reload(String json) throws IOException, InterruptedException {
         Files.writeString(config, json);
         signal("HUP");
     }
 
     /** Sends the program a signal, which has been delivered when this returns. */
-    void signal(String name) throws IOException, InterruptedException {
+    public void signal(String name) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(node.pid())).start().waitFor());
     }
 
     /** Asks the program to end, as the platform does. */
-    void terminate() {
+    public void terminate() {
         node.toHandle().destroy(); // the process's own destroy would close the log
     }
 
-    int exitStatus() throws InterruptedException {
+    public int exitStatus() throws InterruptedException {
         assertTrue("the program was to end", node.waitFor(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
         return node.exitValue();
     }
 
     /** What is closed with the stage. */
-    <T extends Closeable> T add(T peer) {
+    public <T extends Closeable> T add(T peer) {
         open.add(peer);
         return peer;
     }
 
     /** Ends the program and all that was opened for it. */
-    void end() throws IOException, InterruptedException {
+    public void end() throws IOException, InterruptedException {
         for (Closeable c : open) {
             c.close();
         }
