Hold the directions of dependencies by test

Need: folders show the architecture only as long as nothing crosses them the wrong way. ArchUnit looks at all classes of the product: layers, a decision module that depends on nothing but the language, an engine that does not know Undertow's server, no circles.

--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/ArchitectureTest.java
@@ -0,0 +1,72 @@
+package trailthread.daemon;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.Test;
+
+/** The directions of dependencies between the folders, and what may do no I/O. */
+public class ArchitectureTest {
+    private static final JavaClasses PRODUCT = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages("trailthread")
+            .that(DescribedPredicate.not(resideInAPackage("trailthread.testkit")));
+
+    /** Guards against tests that pass because they look at nothing. */
+    @Test
+    public void allFoldersAreLookedAt() {
+        for (String name : new String[] {"trailthread.Balancer", "trailthread.levels.Levels",
+            "trailthread.adapter.Adapter", "trailthread.engine.call.Call", "trailthread.daemon.Main"}) {
+            PRODUCT.get(name);
+        }
+    }
+
+    @Test
+    public void foldersDependOneWay() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("decisions").definedBy("trailthread", "trailthread.levels..", "trailthread.settings..")
+                .layer("adapter").definedBy("trailthread.adapter..")
+                .layer("engine").definedBy("trailthread.engine..")
+                .layer("daemon").definedBy("trailthread.daemon..")
+                .whereLayer("daemon").mayNotBeAccessedByAnyLayer()
+                .whereLayer("adapter").mayOnlyBeAccessedByLayers("daemon")
+                .whereLayer("engine").mayOnlyBeAccessedByLayers("daemon")
+                .check(PRODUCT);
+    }
+
+    @Test
+    public void decisionsDependOnNothingAndDoNoInputOrOutput() {
+        classes().that().resideInAnyPackage("trailthread", "trailthread.levels..", "trailthread.settings..")
+                .should().onlyDependOnClassesThat(resideInAnyPackage("trailthread", "trailthread.levels..",
+                        "trailthread.settings..", "java.lang..", "java.util")
+                        .or(resideInAPackage("java.util.function")).or(resideInAPackage("java.util.stream")))
+                .check(PRODUCT);
+    }
+
+    @Test
+    public void theEngineDoesNotKnowHowCallsComeIn() {
+        noClasses().that().resideInAPackage("trailthread.engine..")
+                .should().dependOnClassesThat(resideInAPackage("io.undertow.server..")
+                        .and(new DescribedPredicate<>("not the pool of buffers") {
+                    @Override
+                    public boolean test(JavaClass c) {
+                        return !c.getSimpleName().equals("DefaultByteBufferPool");
+                    }
+                })).check(PRODUCT);
+    }
+
+    @Test
+    public void packagesFormNoCircles() {
+        slices().matching("trailthread.engine.(*)..").should().beFreeOfCycles().check(PRODUCT);
+        slices().matching("trailthread.daemon.(*)..").should().beFreeOfCycles().check(PRODUCT);
+    }
+}
