--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What there is to do here; deploy/balancer.toml holds the commands that the platform runs.
-.PHONY: build test lint run bench clean
+.PHONY: build test lint run bench isolation jmh clean
 
 MVN = mvn
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
@@ -26,5 +26,18 @@
 	java -cp "benchmarks/target/classes:$$(cat benchmarks/target/classpath)" \
 		trailthread.benchmark.Comparison $(BENCH_ARGS)
 
+# Whether one pool feels another's overload: docs/pools.md.
+ISOLATION_ARGS ?= --rounds 1 --seconds 10
+isolation: build
+	$(MVN) -q -pl benchmarks dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp "benchmarks/target/classes:$$(cat benchmarks/target/classpath)" \
+		trailthread.benchmark.Isolation $(ISOLATION_ARGS)
+
+# Microbenchmarks; JMH_ARGS are JMH's own: a name, -f forks, -i iterations, -rf json.
+JMH_ARGS ?= -f 1 -wi 3 -i 5 -w 1 -r 1
+jmh: build
+	$(MVN) -q -pl benchmarks dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp "benchmarks/target/classes:$$(cat benchmarks/target/classpath)" org.openjdk.jmh.Main $(JMH_ARGS)
+
 clean:
 	$(MVN) -q clean
--- /dev/null
+++ b/command/src/test/java/trailthread/command/CommandLineTest.java
@@ -0,0 +1,108 @@
+package trailthread.command;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** What the words print, and their exit codes. */
+public class CommandLineTest {
+    private static final Path EXAMPLE = Path.of("..", "deploy", "operator.example.toml");
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final PrintStream systemOut = System.out;
+    private final PrintStream systemErr = System.err;
+
+    @Before
+    public void redirect() {
+        System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+        System.setErr(new PrintStream(err, true, StandardCharsets.UTF_8));
+    }
+
+    @After
+    public void restore() {
+        System.setOut(systemOut);
+        System.setErr(systemErr);
+    }
+
+    private void runs(int code, String... args) {
+        int got = Trailthread.run(args);
+        assertEquals(out + "\n" + err, code, got);
+    }
+
+    private void printed(ByteArrayOutputStream where, String part) {
+        assertTrue("'" + part + "' in: " + where, where.toString(StandardCharsets.UTF_8).contains(part));
+    }
+
+    @Test
+    public void checkTellsWhatAFileComesTo() {
+        runs(0, "check", EXAMPLE.toString());
+        printed(out, "pool sim: plain, workers 127.0.0.1:9001; calls 200 to 391");
+        printed(out, "route marks: marks.example.org/hooks/** POST,PUT {x-hook=*} -> pool marks");
+        printed(out, "route attempts: */attempts/{}/use POST -> pool sim, as attempt-use");
+    }
+
+    @Test
+    public void checkTellsEveryFaultAndEndsWithTwo() throws Exception {
+        Path file = Files.createTempFile("operator", ".toml");
+        try {
+            Files.writeString(file, "[node]\nlisten = 1\n[[routes]]\nname = \"a\"\npool = \"x\"\n");
+            runs(2, "check", file.toString());
+            printed(err, file + ":2:1: node.listen: expected address:port, found 1\n");
+            printed(err, "pools: expected at least one pool, begun with [pools.NAME], found none\n");
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    public void routeSaysWhoHasARequestAndWhyTheOthersDoNot() {
+        runs(0, "route", EXAMPLE.toString(), "--host", "marks.example.org:80", "--path", "/hooks/7?x", "--method",
+                "POST", "--header", "X-Hook: 1");
+        printed(out, "route marks, pool marks, class by the method");
+        printed(out, "  sim: takes it, too, but marks is more specific");
+        printed(out, "  attempts: path is not /attempts/{}/use");
+    }
+
+    @Test
+    public void routeWithoutAny() throws Exception {
+        Path file = Files.createTempFile("operator", ".toml");
+        try {
+            Files.writeString(file, Files.readString(EXAMPLE).replace("path = \"/**\"", "path = \"/sim/**\""));
+            runs(1, "route", file.toString(), "--path", "/x");
+            printed(out, "404: no route takes it");
+            runs(2, "route", file.toString(), "--path", "/x/../y");
+            printed(out, "400: a dot segment");
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    public void badUse() {
+        runs(2);
+        runs(2, "sreve");
+        printed(err, "serve");
+        runs(2, "check");
+        runs(2, "route", EXAMPLE.toString(), "--header", "none");
+        runs(2, "serve", "no/such/file");
+        printed(err, "no/such/file:1:1: expected a file that can be read");
+    }
+
+    @Test
+    public void help() {
+        runs(0, "--help");
+        printed(out, "route: no route takes the request");
+        runs(0, "serve", "--help");
+        runs(0, "--version");
+        printed(out, "trailthread ");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/trailthread/daemon/Lifecycle.java
@@ -0,0 +1,65 @@
+package trailthread.daemon;
+
+import java.lang.reflect.Proxy;
+import org.slf4j.LoggerFactory;
+
+/** The process: how it starts, what signals do, how it ends. */
+public final class Lifecycle {
+    /** What ends a process in order. */
+    public interface Ending {
+        /** Returns when all is done. */
+        void run() throws InterruptedException;
+    }
+
+    private Lifecycle() {
+    }
+
+    /**
+     * Spares a start what nobody here uses: XNIO registers itself with the platform's management beans, which
+     * loads hundreds of classes (it goes on without them); the log's dates would bring in all the world's
+     * calendars; and the log's provider, and translations of its messages, are looked for in every jar.
+     */
+    public static void startLean() {
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+        System.setProperty("io.undertow.max-drain-time", "1000");
+        System.setProperty("javax.management.builder.initial", NoManagement.class.getName());
+        System.setProperty("java.locale.providers", "HOST");
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+        System.setProperty("org.jboss.logging.locale", "und");
+    }
+
+    /**
+     * Runs this on each SIGHUP, which would end the virtual machine. By reflection, as the compiler warns of
+     * the only class that handles signals, and a warning is an error here.
+     */
+    public static void onHangup(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object handles = Proxy.newProxyInstance(Lifecycle.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        if (method.getName().equals("handle")) {
+                            task.run();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handles);
+        } catch (ReflectiveOperationException e) {
+            LoggerFactory.getLogger(Lifecycle.class).warn("SIGHUP is not handled: {}", e.toString());
+        }
+    }
+
+    /** Runs this on SIGTERM. Ends in 0 what would end in the signal's number: a planned end is no failure. */
+    public static void onTerminate(Ending ending) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                ending.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Runtime.getRuntime().halt(0);
+        }, "stop"));
+    }
+}
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -5,8 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trailthread.BalancerApi.Entry;
@@ -15,8 +13,11 @@
 import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.State;
 import trailthread.daemon.acceptor.Acceptor;
+import trailthread.daemon.acceptor.PlatformFront;
 import trailthread.daemon.operator.OperatorEndpoint;
+import trailthread.engine.call.CallTaker;
 import trailthread.engine.call.Calls;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
 import trailthread.engine.meter.NodeView;
@@ -25,6 +26,7 @@
 import trailthread.engine.roster.RosterListener;
 import trailthread.engine.roster.RosterUpdate;
 import trailthread.engine.service.Service;
+import trailthread.engine.worker.ConnectionRoom;
 import trailthread.engine.worker.Workers;
 
 /** One node: its parts, how they are joined, its start and its end. */
@@ -42,18 +44,6 @@
     /** At its start a node asks so many workers for their load: by chance, one alone may be idle. */
     private static final int ASKED_AT_START = 4;
     private static final long ASKED_WITHIN_NS = 300_000_000L;
-    /** New connections go on coming for a while after a stop is asked for, as the front hears of it late. */
-    private static final long SERVES_ON_NS = 700_000_000L;
-
-    /**
-     * In the last part of that time, answers end their connections. No sooner: where nodes are restarted in
-     * turn, the clients that leave meet one that has just started.
-     */
-    private static final long LAST_ANSWERS_NS = 150_000_000L;
-
-    /** A client that reads its last answer slowly is waited for so long. */
-    private static final long LAST_ANSWER_NS = 1_000_000_000L;
-
     private volatile NodeConfig config;
     private final Loop loop;
     private final Workers workers;
@@ -78,12 +68,16 @@
         int forOthers = config.sockets() - OWN_DESCRIPTORS;
         int forClients = (int) (CLIENTS_SHARE * forOthers);
         workers = new Workers(loop, config.settings().connectTimeoutNs, config.idleCloseNs(),
-                config.drainGraceNs(), forOthers - forClients, config.settings().finestNs());
+                config.drainGraceNs(), ConnectionRoom.of(forOthers - forClients), config.settings().finestNs(),
+                Account.NONE);
         calls = new Calls(loop, workers, config.settings(), config.seed(), meter);
         roster = new Roster(loop, config.discovery(), this);
         calls.setRoster(roster);
-        acceptor = new Acceptor(loop, config.settings().classes, forClients,
-                (int) (CALLERS_SHARE * config.sockets()), calls, meter);
+        acceptor = new Acceptor(loop, forClients, (int) (CALLERS_SHARE * config.sockets()), front(calls), meter);
+    }
+
+    private PlatformFront front(CallTaker taker) {
+        return new PlatformFront(config.settings().classes, taker);
     }
 
     /** Opens the clients' address and serves from then on. */
@@ -96,9 +90,9 @@
             roster.known(config.known());
             list(ListKind.CACHED, config.known());
             WarmUp warmUp = new WarmUp(loop, config, calls);
-            acceptor.setTaker(warmUp);
+            acceptor.setFront(front(warmUp));
             warmUp.start(address, askAround(warmUp), () -> {
-                acceptor.setTaker(calls);
+                acceptor.setFront(front(calls));
                 acceptor.setReady(true);
                 if (service != null) {
                     calls.setProbes(service::probes);
@@ -140,16 +134,8 @@
 
     /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     void stop() throws InterruptedException {
-        CountDownLatch done = new CountDownLatch(1);
-        loop.execute(() -> {
-            LOG.info("{} stops", config.name());
-            acceptor.setReady(false);
-            loop.after(SERVES_ON_NS - LAST_ANSWERS_NS, acceptor::endWithAnswers);
-            loop.after(SERVES_ON_NS, () -> acceptor.close(done::countDown));
-        });
-        long longestNs =
-                config.settings().classes.stream().mapToLong(RequestClass::deadlineNs).max().orElseThrow();
-        done.await(SERVES_ON_NS + longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
+        PlannedEnd.await(loop, acceptor, config.name(),
+                config.settings().classes.stream().mapToLong(RequestClass::deadlineNs).max().orElseThrow());
     }
 
     @Override
@@ -208,8 +194,7 @@
         workers.update(update, loop.now());
         List<Entry> entries = new ArrayList<>();
         for (RosterEntry e : update.instances()) {
-            entries.add(new Entry(e.instanceId(), e.weight(), e.lifecycle(), e.zone(),
-                    e.startedAtMs() * 1_000_000, e.cell()));
+            entries.add(e.entry());
         }
         meter.listed(kind, entries);
         calls.list(kind, entries);
--- /dev/null
+++ b/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
@@ -0,0 +1,44 @@
+package trailthread.daemon;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import trailthread.daemon.acceptor.Acceptor;
+import trailthread.engine.loop.Loop;
+
+/** How a node ends when it is asked to: it serves on for a while, then finishes every call taken. */
+public final class PlannedEnd {
+    private static final Logger LOG = LoggerFactory.getLogger(PlannedEnd.class);
+    /** New connections go on coming for a while after a stop is asked for, as the front hears of it late. */
+    private static final long SERVES_ON_NS = 700_000_000L;
+
+    /**
+     * In the last part of that time, answers end their connections. No sooner: where nodes are restarted in
+     * turn, the clients that leave meet one that has just started.
+     */
+    private static final long LAST_ANSWERS_NS = 150_000_000L;
+
+    /** A client that reads its last answer slowly is waited for so long. */
+    private static final long LAST_ANSWER_NS = 1_000_000_000L;
+
+    private PlannedEnd() {
+    }
+
+    /**
+     * Ends it; returns when all calls have had their time.
+     *
+     * @param longestNs of all deadlines
+     */
+    public static void await(Loop loop, Acceptor acceptor, String name, long longestNs)
+            throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            LOG.info("{} stops", name);
+            acceptor.setReady(false);
+            loop.after(SERVES_ON_NS - LAST_ANSWERS_NS, acceptor::endWithAnswers);
+            loop.after(SERVES_ON_NS, () -> acceptor.close(done::countDown));
+        });
+        done.await(SERVES_ON_NS + longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
+    }
+}
--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -18,11 +18,14 @@
 import trailthread.engine.call.Calls;
 import trailthread.engine.call.ClientCall;
 import trailthread.engine.call.Reply;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
 import trailthread.engine.roster.RosterEntry;
 import trailthread.engine.roster.RosterUpdate;
+import trailthread.engine.worker.ConnectionRoom;
 import trailthread.engine.worker.Ending;
+import trailthread.engine.worker.Made;
 import trailthread.engine.worker.WorkerRequest;
 import trailthread.engine.worker.Workers;
 
@@ -76,7 +79,7 @@
         this.real = real;
         prefix = "warm-up-" + Long.toHexString(config.seed()) + "-";
         workers = new Workers(loop, config.settings().connectTimeoutNs, config.idleCloseNs(),
-                config.drainGraceNs(), 16, config.settings().finestNs());
+                config.drainGraceNs(), ConnectionRoom.of(16), config.settings().finestNs(), Account.NONE);
         calls = new Calls(loop, workers, config.settings(), config.seed(), Meter.OFF);
     }
 
@@ -133,7 +136,7 @@
         boolean safe = c.semantics() == Semantics.SAFE;
         String id = prefix + count;
         workers.delegate(SELF, new WorkerRequest(id, c.name(), safe ? "GET" : "POST", "/" + c.name(),
-                c.semantics() == Semantics.KEYED ? id : null, safe ? new byte[0] : BODY),
+                c.semantics() == Semantics.KEYED ? id : null, safe ? new byte[0] : BODY, null),
                 CALL_WITHIN_NS, this::next);
     }
 
@@ -155,7 +158,7 @@
         if (delegated.add(call.id())) {
             return calls.take(call, deadline, reply);
         }
-        reply.served(BODY);
+        reply.served(Made.of(BODY));
         return () -> { };
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -4,11 +4,11 @@
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,17 +19,15 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
-import trailthread.BalancerApi.RequestClass;
-import trailthread.engine.call.CallTaker;
+import trailthread.daemon.acceptor.Front.Incoming;
 import trailthread.engine.call.ClientCall;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
 import trailthread.engine.meter.Rejection;
 
-/** The clients' side: HTTP connections in, calls out to a {@link CallTaker}, its replies back. */
+/** The clients' side: HTTP connections in, calls out to who takes them, its replies back. */
 public final class Acceptor {
     private static final Logger LOG = LoggerFactory.getLogger(Acceptor.class);
-    private static final String READY_PATH = "/ready";
     private static final int MOST_HEADER_BYTES = 16 * 1024;
     private static final int BACKLOG = 1024;
     /** A loop that has run late by so much may have left connections waiting to be accepted. */
@@ -38,11 +36,10 @@
     private static final long HANDED_OVER_WITHIN_NS = 20_000_000L;
 
     private final Loop loop;
-    private final CallDecoder decoder;
     private final ClientConnections connections;
     private final int mostConnections;
     private final Meter meter;
-    private CallTaker taker;
+    private Front front;
     private AcceptingChannel<StreamConnection> server;
     private boolean ready;
     private boolean closing;
@@ -52,14 +49,12 @@
      * @param mostConnections past these, further ones wait to be accepted
      * @param clientsMayHold  how many of these clients with calls may hold
      */
-    public Acceptor(Loop loop, List<RequestClass> classes, int mostConnections, int clientsMayHold,
-                    CallTaker taker, Meter meter) {
+    public Acceptor(Loop loop, int mostConnections, int clientsMayHold, Front front, Meter meter) {
         this.meter = meter;
         this.loop = loop;
         this.mostConnections = mostConnections;
         this.connections = new ClientConnections(loop, Math.min(mostConnections, clientsMayHold));
-        this.decoder = new CallDecoder(classes);
-        this.taker = taker;
+        this.front = front;
     }
 
     /** Opens the clients' address, and says which. */
@@ -94,9 +89,9 @@
         http.handleEvent(connection);
     }
 
-    /** Who takes calls from now on. */
-    public void setTaker(CallTaker taker) {
-        this.taker = taker;
+    /** Who reads what comes from now on; what was read before is taken as it was meant then. */
+    public void setFront(Front front) {
+        this.front = front;
     }
 
     /** Whether the front may send clients here. */
@@ -145,40 +140,56 @@
     private void handle(HttpServerExchange exchange) {
         long headersAt = loop.now();
         long owedBy = track(exchange);
-        if (exchange.getRequestURI().equals(READY_PATH)) {
+        if (exchange.getRequestURI().equals(front.readyPath())) {
             exchange.setStatusCode(ready ? 200 : 503);
             exchange.setPersistent(exchange.isPersistent() && !connections.endWithAnswers());
             return;
         }
-        ClientCall head = decode(exchange);
+        Front readBy = front;
+        Incoming incoming = front.read(exchange);
         if (exchange.getRequestContentLength() > BodyReader.MOST_BYTES) {
             Connectors.terminateRequest(exchange); // too much to read past
-            reject(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, Rejection.TOO_LARGE);
+            reject(exchange, Rejection.TOO_LARGE);
             return;
         }
+        long kept = incoming.call() == null ? 0 : keptFor(exchange, incoming.taker());
         exchange.dispatch(SameThreadExecutor.INSTANCE,
-                () -> new BodyReader(loop, exchange, owedBy - loop.now(), body -> {
-                    if (head == null) {
-                        reject(exchange, StatusCodes.BAD_REQUEST, Rejection.BAD_REQUEST);
-                    } else if (body == null) {
-                        reject(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, Rejection.TOO_LARGE);
-                    } else if (taker.isOpen(head.id())) {
-                        // the worker would take it for a copy
-                        reject(exchange, StatusCodes.CONFLICT, Rejection.CONFLICT);
-                    } else {
-                        take(exchange, head.withBody(body), headersAt);
+                () -> new BodyReader(loop, exchange, owedBy - loop.now(), kept >= 0, body -> {
+                    if (readBy == front) {
+                        whole(exchange, incoming, body, headersAt, kept);
+                    } else { // what takes it now is not what took it when its head came
+                        giveUp(incoming, kept);
+                        Incoming again = front.read(exchange);
+                        whole(exchange, again, body, headersAt,
+                                again.call() == null ? 0 : keptFor(exchange, again.taker()));
                     }
-                }).read());
+                }, () -> giveUp(incoming, kept)).read());
     }
 
-    /** The call but for its body, or null if it is none. */
-    private ClientCall decode(HttpServerExchange exchange) {
-        try {
-            return decoder.decode(exchange.getRequestMethod().toString(), exchange.getRequestURI(),
-                    exchange.getQueryString(), exchange.getRequestHeaders());
-        } catch (BadCallException e) {
-            LOG.debug("no call: {}", e.getMessage());
-            return null;
+    private void whole(HttpServerExchange exchange, Incoming incoming, byte[] body, long headersAt, long kept) {
+        Rejection why = incoming.call() == null ? incoming.why()
+                : body == null ? Rejection.TOO_LARGE
+                // the worker would take it for a copy
+                : incoming.taker().isOpen(incoming.call().id()) ? Rejection.CONFLICT : null;
+        if (why == null) {
+            take(exchange, incoming, incoming.call().withBody(body), headersAt, kept);
+        } else {
+            giveUp(incoming, kept);
+            reject(exchange, why);
+        }
+    }
+
+    /** How many bytes are kept for a body that is still to come; -1: there is no room for it. */
+    private static long keptFor(HttpServerExchange exchange, Front.Taker taker) {
+        long length = exchange.getRequestContentLength();
+        boolean bare = length < 0 && !exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING);
+        long bytes = bare ? 0 : length < 0 ? BodyReader.MOST_BYTES : length;
+        return taker.takeBody(bytes) ? bytes : -1;
+    }
+
+    private static void giveUp(Incoming incoming, long kept) {
+        if (kept > 0 && incoming.call() != null) {
+            incoming.taker().giveBody(kept);
         }
     }
 
@@ -194,16 +205,27 @@
         return owedBy;
     }
 
-    private void take(HttpServerExchange exchange, ClientCall call, long headersAt) {
-        HttpReply reply = new HttpReply(loop, exchange, connections::endWithAnswers);
-        reply.watchClient(taker.take(call, headersAt + call.timeLeftNs(), reply));
+    private void take(HttpServerExchange exchange, Incoming incoming, ClientCall call, long headersAt, long kept) {
+        HttpReply reply = new HttpReply(loop, exchange, incoming.plain(), connections::endWithAnswers);
+        reply.watchClient(incoming.taker().take(call, headersAt + call.timeLeftNs(), reply, kept));
     }
 
-    /** Answers what is no call; the connection ends, as what follows on it can't be trusted. */
-    private void reject(HttpServerExchange exchange, int status, Rejection why) {
+    /**
+     * Answers what is no call; but for one that only has no route, the connection ends, as what follows on it can't
+     * be trusted.
+     */
+    private void reject(HttpServerExchange exchange, Rejection why) {
         meter.rejected(why);
+        int status = switch (why) {
+            case BAD_REQUEST -> StatusCodes.BAD_REQUEST;
+            case TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
+            case CONFLICT -> StatusCodes.CONFLICT;
+            case NO_ROUTE -> StatusCodes.NOT_FOUND;
+        };
         exchange.setStatusCode(status);
-        exchange.setPersistent(false);
+        if (why != Rejection.NO_ROUTE || connections.endWithAnswers()) {
+            exchange.setPersistent(false);
+        }
         exchange.endExchange();
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/BodyReader.java
@@ -22,19 +22,27 @@
     private final Loop loop;
     private final HttpServerExchange exchange;
     private final StreamSourceChannel channel;
+    private final boolean keep;
     private final Consumer<byte[]> whole;
+    private final Runnable broken;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final XnioExecutor.Key late;
     private long size;
+    private boolean over;
 
     /**
      * @param withinNs what comes later is never taken
+     * @param keep     whether the body is kept; else it is read past, and passes for empty
      * @param whole    gets the body, or null if it is too large
+     * @param broken   runs instead if it never comes whole
      */
-    BodyReader(Loop loop, HttpServerExchange exchange, long withinNs, Consumer<byte[]> whole) {
+    BodyReader(Loop loop, HttpServerExchange exchange, long withinNs, boolean keep, Consumer<byte[]> whole,
+               Runnable broken) {
         this.loop = loop;
         this.exchange = exchange;
+        this.keep = keep;
         this.whole = whole;
+        this.broken = broken;
         channel = exchange.getRequestChannel();
         late = loop.afterReading(withinNs, this::giveUp);
     }
@@ -47,6 +55,7 @@
                 int count = channel.read(buffer);
                 if (count < 0) {
                     late.remove();
+                    over = true;
                     whole.accept(size > MOST_BYTES ? null : body.toByteArray());
                     return;
                 }
@@ -60,7 +69,7 @@
                     giveUp();
                     return;
                 }
-                if (size <= MOST_BYTES) {
+                if (keep && size <= MOST_BYTES) {
                     buffer.flip();
                     while (buffer.hasRemaining()) {
                         body.write(buffer.get());
@@ -74,6 +83,10 @@
 
     private void giveUp() {
         late.remove();
+        if (!over) {
+            over = true;
+            broken.run();
+        }
         IoUtils.safeClose(exchange.getConnection());
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/CallDecoder.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/CallDecoder.java
@@ -57,7 +57,7 @@
         long timeLeftNs = nanoseconds(required(headers, TIME_LEFT), TIME_LEFT);
         return new ClientCall(required(headers, CORRELATION_ID), name, optional(headers, ACCOUNT),
                 Math.min(timeLeftNs, requestClass.deadlineNs()), "1".equals(headers.getFirst(REPEAT)),
-                workNs, fact(facts, "entity", 16), method, target, key, null);
+                workNs, fact(facts, "entity", 16), method, target, key, null, null);
     }
 
     /** A figure of the form name=value,name=value; 0 if it is absent or none. */
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -4,17 +4,22 @@
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
 import trailthread.engine.call.Reply;
+import trailthread.engine.http.EndToEnd;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.loop.Seconds;
+import trailthread.engine.worker.Made;
 
 /** Answers one call over HTTP, and notices when its client goes away. */
 final class HttpReply implements Reply {
-    private static final int SERVED = 200;
+    /** A worker's word to the node alone. */
+    private static final Set<String> LEFT_OUT = Set.of("x-backend-load", "x-unprocessed");
     private static final int OVERLOAD = 503;
     private static final int FAILED = 502;
 
@@ -23,21 +28,33 @@
 
     private final Loop loop;
     private final HttpServerExchange exchange;
+    private final boolean plain;
     private final BooleanSupplier closing;
     private boolean answered;
 
     /**
+     * @param plain   whether a worker's status and headers are passed on
      * @param closing whether the connection is to end with the answer
      */
-    HttpReply(Loop loop, HttpServerExchange exchange, BooleanSupplier closing) {
+    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing) {
         this.loop = loop;
         this.exchange = exchange;
+        this.plain = plain;
         this.closing = closing;
     }
 
     @Override
-    public void served(byte[] body) {
-        answer(SERVED, body);
+    public void served(Made made) {
+        if (made.headers() != null && plain) {
+            // Where they can't be told apart from another answer's beginning, they are left out: never seen here.
+            EndToEnd.pass(made.headers(), LEFT_OUT, exchange.getResponseHeaders()::add);
+            exchange.getResponseHeaders().add(Headers.VIA, "1.1 trailthread");
+            String length = made.headers().getFirst(Headers.CONTENT_LENGTH);
+            if (exchange.getRequestMethod().equals(Methods.HEAD) && length != null) {
+                exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
+            }
+        }
+        answer(made.status(), made.body());
     }
 
     @Override
@@ -62,7 +79,11 @@
         if (closing.getAsBoolean()) {
             exchange.setPersistent(false);
         }
-        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        if (plain && body.length == 0) {
+            exchange.endExchange();
+        } else {
+            exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        }
         if (!exchange.isResponseComplete()) {
             loop.afterReading(READ_WITHIN_NS, () -> {
                 if (!exchange.isResponseComplete()) {
--- a/daemon/src/test/java/trailthread/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/trailthread/daemon/ArchitectureTest.java
@@ -25,7 +25,8 @@
     @Test
     public void allFoldersAreLookedAt() {
         for (String name : new String[] {"trailthread.Balancer", "trailthread.levels.Levels",
-            "trailthread.adapter.Adapter", "trailthread.engine.call.Call", "trailthread.daemon.Main"}) {
+            "trailthread.adapter.Adapter", "trailthread.engine.call.Call", "trailthread.engine.routes.Route",
+            "trailthread.daemon.services.ServiceNode", "trailthread.daemon.Main"}) {
             PRODUCT.get(name);
         }
     }
@@ -36,10 +37,12 @@
                 .layer("decisions").definedBy("trailthread", "trailthread.levels..", "trailthread.settings..")
                 .layer("adapter").definedBy("trailthread.adapter..")
                 .layer("engine").definedBy("trailthread.engine..")
+                .layer("configuration").definedBy("trailthread.configuration..")
                 .layer("daemon").definedBy("trailthread.daemon..")
                 .whereLayer("daemon").mayNotBeAccessedByAnyLayer()
                 .whereLayer("adapter").mayOnlyBeAccessedByLayers("daemon")
-                .whereLayer("engine").mayOnlyBeAccessedByLayers("daemon")
+                .whereLayer("engine").mayOnlyBeAccessedByLayers("configuration", "daemon")
+                .whereLayer("configuration").mayOnlyBeAccessedByLayers("daemon")
                 .check(PRODUCT);
     }
 
@@ -52,6 +55,23 @@
                 .check(PRODUCT);
     }
 
+    /** The platform's start must not meet what only operators' files need. */
+    @Test
+    public void onlyServicesKnowTheOperatorsFile() {
+        noClasses().that().resideInAPackage("trailthread.daemon..")
+                .and().resideOutsideOfPackage("trailthread.daemon.services..")
+                .should().dependOnClassesThat().resideInAnyPackage("trailthread.configuration..", "org.tomlj..")
+                .check(PRODUCT);
+    }
+
+    @Test
+    public void routesAndQuotasDoNoInputOrOutput() {
+        classes().that().resideInAnyPackage("trailthread.engine.routes..", "trailthread.engine.quota..")
+                .should().onlyDependOnClassesThat(resideInAnyPackage("trailthread.engine.routes..",
+                        "trailthread.engine.quota..", "java.lang..", "java.util", "java.util.function",
+                        "java.util.stream")).check(PRODUCT);
+    }
+
     @Test
     public void theEngineDoesNotKnowHowCallsComeIn() {
         noClasses().that().resideInAPackage("trailthread.engine..")
--- a/daemon/src/test/java/trailthread/daemon/acceptor/CallDecoderTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/CallDecoderTest.java
@@ -39,14 +39,14 @@
                 + "X-Account:acme\nX-Time-Left:0.480\nX-Repeat:1\nIdempotency-Key:5c0f\n"
                 + "X-Facts:other=x,expected_ns=12000000,entity=ff00ff00ff00ff00");
         assertEquals(new ClientCall("9b1f", "action", "acme", 480_000_000L, true, 12_000_000L,
-                0xff00ff00ff00ff00L, "POST", "/action/7?a=%20b", "5c0f", null), call);
+                0xff00ff00ff00ff00L, "POST", "/action/7?a=%20b", "5c0f", null, null), call);
     }
 
     @Test
     public void whatMayBeMissingMay() throws Exception {
         ClientCall call = decode("GET /state\nX-Correlation-Id:1\nX-Service-Class:state\nX-Time-Left:1");
         assertEquals(new ClientCall("1", "state", null, 1_000_000_000L, false, 0, 0, "GET", "/state", null,
-                null), call);
+                null, null), call);
     }
 
     /** Nobody waits past the class's deadline, whatever he says; a timer would. */
--- a/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
@@ -25,6 +25,7 @@
 import trailthread.engine.call.Reply;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
+import trailthread.engine.worker.Made;
 
 /**
  * No call that has come whole is lost because the loop runs late: its timers are due before it has looked at
@@ -47,10 +48,10 @@
     public void listen() throws Exception {
         RequestClass use = new RequestClass("use", 10_000_000_000L, 0, 20_000_000_000L, Semantics.UNSAFE,
                 Group.ALL, 0, 1, 0);
-        acceptor = new Acceptor(loop, List.of(use), MOST, MOST, new CallTaker() {
+        acceptor = new Acceptor(loop, MOST, MOST, new PlatformFront(List.of(use), new CallTaker() {
             @Override
             public Runnable take(ClientCall call, long deadline, Reply reply) {
-                reply.served("made".getBytes(StandardCharsets.US_ASCII));
+                reply.served(Made.of("made".getBytes(StandardCharsets.US_ASCII)));
                 return () -> { };
             }
 
@@ -58,7 +59,7 @@
             public boolean isOpen(String id) {
                 return false;
             }
-        }, Meter.OFF);
+        }), Meter.OFF);
         address = acceptor.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -37,7 +37,7 @@
         takenAt = calls.now();
         this.reply = reply;
         this.request = new WorkerRequest(client.id(), client.requestClass(), client.method(), client.target(),
-                client.idempotencyKey(), client.body());
+                client.idempotencyKey(), client.body(), client.passing());
     }
 
     /** Taken: the module hears of it, and chooses. */
@@ -73,7 +73,7 @@
         if (ending.outcome() == Outcome.OK && !finished) {
             finish();
             answered(Answer.SERVED);
-            reply.served(ending.body());
+            reply.served(ending.made());
         }
         boolean closed = finished;
         calls.decisions().event(this, module -> module.outcome(calls.now(), id, attempt, ending.outcome(),
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -17,7 +17,7 @@
 import trailthread.BalancerApi.Settings;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
-import trailthread.engine.roster.Roster;
+import trailthread.engine.roster.WorkerList;
 import trailthread.engine.worker.Workers;
 
 /** The calls at work, between the module that decides on them and the sockets that carry them. */
@@ -34,7 +34,10 @@
     private final long answerSlackNs;
     /** What takes longer to tell its load than the tightest aim is fit for nothing just now. */
     private final long probeWithinNs;
-    private Roster roster;
+    private WorkerList list;
+    /** Runs when the last call has ended, and nothing more is done after that; null: it goes on. */
+    private Runnable whenOver;
+    private boolean over;
     private Predicate<String> mayProbe = backend -> true;
     private long lastId;
 
@@ -48,8 +51,21 @@
     }
 
     /** Where the module's wishes about the list go; without one they are let be. */
-    public void setRoster(Roster roster) {
-        this.roster = roster;
+    public void setRoster(WorkerList list) {
+        this.list = list;
+    }
+
+    /** No call is taken from now on; those at work come to their ends, and then the module hears of nothing more. */
+    public void retire(Runnable whenOver) {
+        this.whenOver = whenOver;
+        endIfDone();
+    }
+
+    private void endIfDone() {
+        if (whenOver != null && !over && calls.isEmpty()) {
+            over = true;
+            whenOver.run();
+        }
     }
 
     /** Which probes that the module asks for are made; without it, all. */
@@ -111,6 +127,7 @@
     void forget(long id, String clientsId) {
         calls.remove(id);
         openIds.remove(clientsId);
+        endIfDone();
     }
 
     // ---- actions -----------------------------------------------------------------------------------
@@ -149,7 +166,11 @@
 
     @Override
     public void timer(long delayNs, long token) {
-        loop.after(delayNs, () -> decisions.event(null, module -> module.timer(now(), token)));
+        loop.after(delayNs, () -> {
+            if (!over) {
+                decisions.event(null, module -> module.timer(now(), token));
+            }
+        });
     }
 
     @Override
@@ -176,15 +197,15 @@
 
     @Override
     public void watch(boolean on) {
-        if (roster != null) {
-            roster.watch(on);
+        if (list != null) {
+            list.watch(on);
         }
     }
 
     @Override
     public void fetch() {
-        if (roster != null) {
-            roster.fetch();
+        if (list != null) {
+            list.fetch();
         }
     }
 
--- a/engine/src/main/java/trailthread/engine/call/ClientCall.java
+++ b/engine/src/main/java/trailthread/engine/call/ClientCall.java
@@ -1,5 +1,7 @@
 package trailthread.engine.call;
 
+import trailthread.engine.worker.Passing;
+
 /**
  * A client's call, decoded.
  *
@@ -11,12 +13,14 @@
  * @param entity         what the call concerns; 0: not told
  * @param target         path and query as they came
  * @param idempotencyKey or null
+ * @param passing        what else goes to the worker, which may then answer with any status; null: nothing
  */
 public record ClientCall(String id, String requestClass, String account, long timeLeftNs, boolean repeat,
                          long workNs, long entity, String method, String target, String idempotencyKey,
-                         byte[] body) {
+                         byte[] body, Passing passing) {
+    /** The call with its body, which has come. */
     public ClientCall withBody(byte[] whole) {
         return new ClientCall(id, requestClass, account, timeLeftNs, repeat, workNs, entity, method,
-                target, idempotencyKey, whole);
+                target, idempotencyKey, whole, passing);
     }
 }
--- a/engine/src/main/java/trailthread/engine/http/AnswerDecoder.java
+++ b/engine/src/main/java/trailthread/engine/http/AnswerDecoder.java
@@ -26,6 +26,7 @@
 
     private final AnswerListener out;
     private final long mostBodyBytes;
+    private final boolean bodiless;
     private State state = State.STATUS;
     private byte[] line = new byte[128];
     private int lineLength;
@@ -42,8 +43,18 @@
      * @param mostBodyBytes what promises or brings more is malformed
      */
     AnswerDecoder(AnswerListener out, long mostBodyBytes) {
+        this(out, mostBodyBytes, false);
+    }
+
+    /**
+     * The same.
+     *
+     * @param bodiless whether the answer has no body whatever its head says: it is one to HEAD (RFC 9112, 6.3)
+     */
+    AnswerDecoder(AnswerListener out, long mostBodyBytes, boolean bodiless) {
         this.out = out;
         this.mostBodyBytes = mostBodyBytes;
+        this.bodiless = bodiless;
     }
 
     boolean isWhole() {
@@ -209,15 +220,15 @@
                 || !"chunked".equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING)))) {
             throw new MalformedAnswerException("an unclear length");
         }
-        boolean bare = status == 204 || status == 304;
+        boolean bare = bodiless || status == 204 || status == 304;
         if (lengths == 0 && !chunked && !bare) {
             throw new MalformedAnswerException("no length, so that a break would pass for its end");
         }
         left = lengths == 1 ? whole(headers.getFirst(Headers.CONTENT_LENGTH), 10) : 0;
-        if (left < 0 || left > mostBodyBytes) {
+        if (left < 0 || left > mostBodyBytes && !bare) {
             throw new MalformedAnswerException("a length that can't be");
         }
-        state = chunked ? State.CHUNK_SIZE : bare || left == 0 ? State.WHOLE : State.BODY;
+        state = bare || !chunked && left == 0 ? State.WHOLE : chunked ? State.CHUNK_SIZE : State.BODY;
         out.head(status, headers);
     }
 
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -12,6 +12,7 @@
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 
 /**
@@ -33,7 +34,7 @@
     private AnswerDecoder answer;
     private boolean open = true;
 
-    private HttpConnection(Loop loop, StreamConnection connection, Runnable closed) {
+    private HttpConnection(Loop loop, StreamConnection connection, Account account, Runnable closed) {
         this.loop = loop;
         this.connection = connection;
         this.closed = closed;
@@ -41,7 +42,7 @@
         sink = connection.getSinkChannel();
         source.setReadListener(readable -> {
             loop.servesSocket();
-            read();
+            account.charge(this::read);
         });
         source.resumeReads();
         sink.setWriteListener(writable -> write());
@@ -50,11 +51,12 @@
     /**
      * Opens a connection.
      *
-     * @param closed is run once when a connection that has come up is closed
-     * @param opened gets the connection, or null if it does not come up; never from within this call
+     * @param account what is read on it is put down to
+     * @param closed  is run once when a connection that has come up is closed
+     * @param opened  gets the connection, or null if it does not come up; never from within this call
      * @return takes the connect back, descriptor and all; {@code opened} is not told then
      */
-    public static Runnable open(Loop loop, InetSocketAddress server, Runnable closed,
+    public static Runnable open(Loop loop, InetSocketAddress server, Account account, Runnable closed,
                                 Consumer<HttpConnection> opened) {
         if (server.isUnresolved()) {
             loop.execute(() -> opened.accept(null));
@@ -67,7 +69,7 @@
             if (over.getAndSet(true)) {
                 IoUtils.safeClose(connection);
             } else {
-                opened.accept(connection == null ? null : new HttpConnection(loop, connection, closed));
+                opened.accept(connection == null ? null : new HttpConnection(loop, connection, account, closed));
             }
         }), null);
         return () -> {
@@ -87,9 +89,18 @@
 
     /** Sends a request; not to be called before the answer to the one before is whole. */
     public void send(ByteBuffer request, long mostBodyBytes, AnswerListener hears) {
+        send(request, mostBodyBytes, false, hears);
+    }
+
+    /**
+     * The same.
+     *
+     * @param isHead whether it is a HEAD request, whose answer has no body
+     */
+    public void send(ByteBuffer request, long mostBodyBytes, boolean isHead, AnswerListener hears) {
         unsent = request;
         listener = hears;
-        answer = new AnswerDecoder(hears, mostBodyBytes);
+        answer = new AnswerDecoder(hears, mostBodyBytes, isHead);
         write();
     }
 
--- /dev/null
+++ b/engine/src/main/java/trailthread/engine/loop/Account.java
@@ -0,0 +1,30 @@
+package trailthread.engine.loop;
+
+/** Whom the thread works for: hears how long, where somebody wants to know. */
+public interface Account {
+    /** Nobody wants to know. */
+    Account NONE = new Account() {
+        @Override
+        public void spent(long ns) {
+            // nobody wants to know
+        }
+
+        @Override
+        public void charge(Runnable task) {
+            task.run();
+        }
+    };
+
+    /** The thread has worked so long for it. */
+    void spent(long ns);
+
+    /** Runs a task for it. */
+    default void charge(Runnable task) {
+        long begun = System.nanoTime();
+        try {
+            task.run();
+        } finally {
+            spent(System.nanoTime() - begun);
+        }
+    }
+}
--- a/engine/src/main/java/trailthread/engine/meter/Rejection.java
+++ b/engine/src/main/java/trailthread/engine/meter/Rejection.java
@@ -7,5 +7,7 @@
     /** Its body is larger than any call's. */
     TOO_LARGE,
     /** A call with its id is at work. */
-    CONFLICT
+    CONFLICT,
+    /** No route takes it. */
+    NO_ROUTE
 }
--- /dev/null
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -0,0 +1,298 @@
+package trailthread.engine.pool;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import trailthread.BalancerApi.Entry;
+import trailthread.BalancerApi.ListKind;
+import trailthread.engine.call.CallTaker;
+import trailthread.engine.call.Calls;
+import trailthread.engine.call.ClientCall;
+import trailthread.engine.call.Reply;
+import trailthread.engine.loop.Account;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.quota.Quota;
+import trailthread.engine.quota.TimeShare;
+import trailthread.engine.roster.FixedList;
+import trailthread.engine.roster.ListFile;
+import trailthread.engine.roster.Roster;
+import trailthread.engine.roster.RosterListener;
+import trailthread.engine.roster.RosterUpdate;
+import trailthread.engine.roster.WorkerList;
+import trailthread.engine.worker.ConnectionRoom;
+import trailthread.engine.worker.Made;
+import trailthread.engine.worker.Workers;
+
+/** One service: its decision module, its workers, its calls, and its part of what the process has. */
+public final class Pool implements CallTaker, RosterListener, Account {
+    private static final Logger LOG = LoggerFactory.getLogger(Pool.class);
+
+    private final Loop loop;
+    private final PoolConfig config;
+    private final Shares shares;
+    private final Quota.Party calls;
+    private final Quota.Party connections;
+    private final Quota.Party bodyBytes;
+    private final TimeShare.Party time;
+    private final Workers workers;
+    private final Calls atWork;
+    private final WorkerList list;
+    private final PoolMeter meter;
+    /** Whether the call that the module hears of now is within this pool's part. */
+    private boolean roomForThis;
+    private RosterUpdate known = new RosterUpdate(0, true, List.of());
+    private boolean retired;
+
+    /**
+     * Makes a pool, which begins with {@link #start}; to be called on the loop's thread.
+     *
+     * @throws IllegalArgumentException if its guarantees are more than there is, or its settings make no sense
+     */
+    public Pool(Loop loop, PoolConfig config, long seed, Shares shares, Meter operators) {
+        this.loop = loop;
+        this.config = config;
+        this.shares = shares;
+        calls = shares.calls.join(config.limits().calls().guaranteed(), config.limits().calls().most());
+        connections = shares.connections.join(config.limits().connections().guaranteed(),
+                config.limits().connections().most());
+        bodyBytes = shares.bodyBytes.join(config.limits().bodyBytes().guaranteed(),
+                config.limits().bodyBytes().most());
+        time = shares.time.join(config.limits().loopWeight());
+        var settings = config.settings();
+        workers = new Workers(loop, settings.connectTimeoutNs, config.rules().idleCloseNs(),
+                config.rules().drainGraceNs(), new Room(), settings.finestNs(), this);
+        meter = new PoolMeter(config.name(), operators);
+        atWork = new Calls(loop, workers, settings, seed, meter);
+        atWork.admit((requestClass, overQuota, random) -> roomForThis);
+        list = list(config.source());
+        atWork.setRoster(list);
+        shares.joined(this);
+    }
+
+    private WorkerList list(PoolConfig.Source source) {
+        if (source instanceof PoolConfig.Source.Roster roster) {
+            return new Roster(loop, Workers.address(roster.hostPort()), this);
+        }
+        if (source instanceof PoolConfig.Source.ListFile file) {
+            return new ListFile(loop, Path.of(file.path()), this);
+        }
+        return new FixedList(loop, ((PoolConfig.Source.Fixed) source).hostPorts(), this);
+    }
+
+    /**
+     * Serves from now on.
+     *
+     * @param before the list that another pool of this source had, or null
+     */
+    public void start(RosterUpdate before) {
+        if (before != null) {
+            list.known(before);
+            listed(ListKind.CACHED, before);
+        } else {
+            listed(ListKind.CACHED, known);
+        }
+        list.start();
+    }
+
+    /** Takes nothing new from now on; what it has taken it finishes, and then closes all that it holds. */
+    public void retire() {
+        if (retired) {
+            return;
+        }
+        retired = true;
+        list.close();
+        // Its guarantees are for others from now on; its calls may still need what is left.
+        calls.change(0, config.limits().calls().most());
+        connections.change(0, config.limits().connections().most());
+        bodyBytes.change(0, config.limits().bodyBytes().most());
+        atWork.retire(() -> {
+            workers.update(new RosterUpdate(0, true, List.of()), loop.now());
+            calls.leave();
+            connections.leave();
+            bodyBytes.leave();
+            time.leave();
+            shares.left(this);
+            meter.ended();
+            LOG.info("pool {} has ended", config.name());
+        });
+    }
+
+    /** What it was made from. */
+    public PoolConfig config() {
+        return config;
+    }
+
+    /** Its workers, as it knows them. */
+    public RosterUpdate known() {
+        return known;
+    }
+
+    /** How many connections to its workers there are in each state. */
+    public Map<String, Integer> connections() {
+        return workers.connections();
+    }
+
+    /** How many calls it has open. */
+    public long open() {
+        return calls.holds();
+    }
+
+    /** The share of the thread's time that it has used of late. */
+    public double loopShare() {
+        return time.share(loop.now());
+    }
+
+    /** Whether a body of so many bytes may be kept; {@link #giveBody} follows if so. */
+    public boolean takeBody(long bytes) {
+        return bytes == 0 || bodyBytes.take(bytes, loop.now());
+    }
+
+    /** A body is kept no more. */
+    public void giveBody(long bytes) {
+        if (bytes > 0) {
+            bodyBytes.give(bytes);
+        }
+    }
+
+    // ---- calls -------------------------------------------------------------------------------------
+
+    @Override
+    public Runnable take(ClientCall call, long deadline, Reply reply) {
+        return take(call, deadline, reply, 0);
+    }
+
+    /**
+     * Takes a call. What is past this pool's part the module hears of, and turns away.
+     *
+     * @param kept how many bytes were taken for its body, which are given back with its end; -1: there was no room
+     */
+    public Runnable take(ClientCall call, long deadline, Reply reply, long kept) {
+        Place place = new Place(reply, Math.max(0, kept));
+        charge(() -> {
+            long now = loop.now();
+            roomForThis = kept >= 0 && !retired && time.mayBegin(now) && calls.take(1, now);
+            place.counted = roomForThis;
+            place.gone = atWork.take(call, deadline, place);
+        });
+        return place;
+    }
+
+    @Override
+    public boolean isOpen(String id) {
+        return atWork.isOpen(id);
+    }
+
+    @Override
+    public void spent(long ns) {
+        time.used(ns, loop.now());
+    }
+
+    // ---- workers -----------------------------------------------------------------------------------
+
+    @Override
+    public void told(RosterUpdate update) {
+        if (!retired) {
+            listed(update.reset() ? ListKind.FULL : ListKind.DELTA, update);
+        }
+    }
+
+    @Override
+    public void failed() {
+        if (!retired) {
+            atWork.list(ListKind.FAILED, List.of());
+        }
+    }
+
+    private void listed(ListKind kind, RosterUpdate update) {
+        known = update.onto(known);
+        workers.update(update, loop.now());
+        List<Entry> entries = new ArrayList<>();
+        update.instances().forEach(worker -> entries.add(worker.entry()));
+        meter.listed(kind, entries);
+        atWork.list(kind, entries);
+    }
+
+    /** Closes idle connections, as far as they were lent and others want them. */
+    void giveBackIdle() {
+        long owed = connections.owes(loop.now());
+        if (owed > 0) {
+            workers.closeIdle((int) owed);
+        }
+    }
+
+    /** A call's place among those that the pool may have open, until its answer or its client's end. */
+    private final class Place implements Reply, Runnable {
+        private final Reply reply;
+        private final long bytes;
+        private boolean counted;
+        private Runnable gone;
+        private boolean given;
+
+        Place(Reply reply, long bytes) {
+            this.reply = reply;
+            this.bytes = bytes;
+        }
+
+        private void give() {
+            if (!given) {
+                given = true;
+                giveBody(bytes);
+                if (counted) {
+                    calls.give(1);
+                }
+            }
+        }
+
+        @Override
+        public void served(Made made) {
+            give();
+            reply.served(made);
+        }
+
+        @Override
+        public void overload(long retryAfterNs) {
+            give();
+            reply.overload(retryAfterNs);
+        }
+
+        @Override
+        public void failed() {
+            give();
+            reply.failed();
+        }
+
+        /** The client has gone. */
+        @Override
+        public void run() {
+            give();
+            gone.run();
+        }
+    }
+
+    /** The connections that it may have. */
+    private final class Room implements ConnectionRoom {
+        @Override
+        public boolean take() {
+            boolean taken = connections.take(1, loop.now());
+            if (!taken) {
+                shares.connectionWanted();
+                taken = connections.take(1, loop.now());
+            }
+            return taken;
+        }
+
+        @Override
+        public void give() {
+            connections.give(1);
+        }
+
+        @Override
+        public boolean keepsIdle() {
+            return connections.owes(loop.now()) == 0;
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/trailthread/engine/pool/ServicesConfig.java
@@ -0,0 +1,21 @@
+package trailthread.engine.pool;
+
+import java.util.List;
+import trailthread.engine.routes.Route;
+
+/**
+ * The services of a process.
+ *
+ * @param calls       that all pools together may have open
+ * @param connections to workers
+ * @param bodyBytes   of clients' bodies kept for their attempts
+ * @param pools       their guarantees are no more than these
+ * @param routes      each to one of the pools; no two of them tie
+ */
+public record ServicesConfig(long calls, long connections, long bodyBytes, List<PoolConfig> pools,
+                             List<Route> routes) {
+    public ServicesConfig {
+        pools = List.copyOf(pools);
+        routes = List.copyOf(routes);
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/trailthread/engine/roster/FixedList.java
@@ -0,0 +1,54 @@
+package trailthread.engine.roster;
+
+import java.util.List;
+import trailthread.BalancerApi.State;
+import trailthread.engine.loop.Loop;
+
+/** Workers that are given once and for all: always ready, as far as a list can tell. */
+public final class FixedList implements WorkerList {
+    private final Loop loop;
+    private final RosterUpdate update;
+    private final RosterListener listener;
+    private boolean closed;
+
+    /**
+     * Makes one.
+     *
+     * @param hostPorts each address:port; a worker's id is its address
+     */
+    public FixedList(Loop loop, List<String> hostPorts, RosterListener listener) {
+        this.loop = loop;
+        this.listener = listener;
+        update = new RosterUpdate(0, true, hostPorts.stream()
+                .map(hostPort -> new RosterEntry(hostPort, hostPort, "", -1, State.READY, 1, 0)).toList());
+    }
+
+    @Override
+    public void start() {
+        fetch();
+    }
+
+    @Override
+    public void known(RosterUpdate ignored) {
+        // it knows better
+    }
+
+    @Override
+    public void watch(boolean on) {
+        // it never changes
+    }
+
+    @Override
+    public void fetch() {
+        loop.execute(() -> {
+            if (!closed) {
+                listener.told(update);
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- a/engine/src/main/java/trailthread/engine/roster/Roster.java
+++ b/engine/src/main/java/trailthread/engine/roster/Roster.java
@@ -14,10 +14,11 @@
 import trailthread.engine.http.AnswerListener;
 import trailthread.engine.http.HttpConnection;
 import trailthread.engine.http.RequestEncoder;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 
 /** The roster's side: fetches the list and watches it, as the module asks. */
-public final class Roster {
+public final class Roster implements WorkerList {
     private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
     private static final String PATH = "/v1/endpoints";
     /** No queue is in the way of a connect, so one that takes longer meets a cut link. */
@@ -36,6 +37,7 @@
     /** All that is out, the watch too. */
     private final Set<Exchange> open = new HashSet<>();
     private boolean failing;
+    private boolean closed;
 
     public Roster(Loop loop, InetSocketAddress address, RosterListener listener) {
         this.loop = loop;
@@ -61,27 +63,43 @@
         watch(watched);
     }
 
-    /** The list that the node knew before. */
+    @Override
+    public void start() {
+        // the module asks when it wants to know
+    }
+
+    @Override
     public void known(RosterUpdate update) {
         generation = update.generation();
     }
 
-    /** Watches from now on, if it does not yet; or stops. */
+    @Override
     public void watch(boolean on) {
         if (!on) {
             if (watch != null) {
                 watch.close();
                 watch = null;
             }
-        } else if (watch == null) {
+        } else if (watch == null && !closed) {
             watch = new Exchange(true, PATH + "?stream=1&index=" + generation);
             watch.start();
         }
     }
 
-    /** Asks for the whole list once. */
+    @Override
     public void fetch() {
-        new Exchange(false, PATH).start();
+        if (!closed) {
+            new Exchange(false, PATH).start();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        for (Exchange old : List.copyOf(open)) {
+            old.close();
+        }
+        watch = null;
     }
 
     private String hostPort() {
@@ -107,7 +125,7 @@
         void start() {
             open.add(this);
             expectWithin(CONNECT_WITHIN_NS);
-            connecting = HttpConnection.open(loop, address, () -> { }, opened -> {
+            connecting = HttpConnection.open(loop, address, Account.NONE, () -> { }, opened -> {
                 connecting = null;
                 if (opened == null) {
                     fail("cannot be reached");
--- a/engine/src/main/java/trailthread/engine/roster/RosterEntry.java
+++ b/engine/src/main/java/trailthread/engine/roster/RosterEntry.java
@@ -1,5 +1,6 @@
 package trailthread.engine.roster;
 
+import trailthread.BalancerApi.Entry;
 import trailthread.BalancerApi.State;
 
 /**
@@ -12,4 +13,8 @@
  */
 public record RosterEntry(String instanceId, String hostPort, String zone, int cell, State lifecycle,
                           double weight, long startedAtMs) {
+    /** The worker as the decision module has it. */
+    public Entry entry() {
+        return new Entry(instanceId, weight, lifecycle, zone, startedAtMs * 1_000_000, cell);
+    }
 }
--- /dev/null
+++ b/engine/src/main/java/trailthread/engine/worker/ConnectionRoom.java
@@ -0,0 +1,37 @@
+package trailthread.engine.worker;
+
+/** How many connections to workers there may be. Each {@link #take} that is granted is followed by one give. */
+public interface ConnectionRoom {
+    /** Whether another one may be opened. */
+    boolean take();
+
+    /** One is closed, or never came up. */
+    void give();
+
+    /** Whether one that has become idle may be kept: others may need it more. */
+    boolean keepsIdle();
+
+    /** Room for so many. */
+    static ConnectionRoom of(int most) {
+        return new ConnectionRoom() {
+            private int open;
+
+            @Override
+            public boolean take() {
+                boolean taken = open < most;
+                open += taken ? 1 : 0;
+                return taken;
+            }
+
+            @Override
+            public void give() {
+                open--;
+            }
+
+            @Override
+            public boolean keepsIdle() {
+                return true;
+            }
+        };
+    }
+}
--- a/engine/src/main/java/trailthread/engine/worker/Connections.java
+++ b/engine/src/main/java/trailthread/engine/worker/Connections.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import trailthread.engine.http.HttpConnection;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 
 /** The connections to the workers: opened when needed, kept while idle, bounded over all. */
@@ -32,19 +33,22 @@
     final long connectTimeoutNs;
     final long drainGraceNs;
     private final long idleNs;
-    private final int most;
+    private final ConnectionRoom room;
+    private final Account account;
     /** Those idle at any worker, the longest idle first. */
     private final Set<Idle> idle = new LinkedHashSet<>();
     /** Connections, and connects that have not come up. */
     private int open;
     private boolean sweeps;
 
-    Connections(Loop loop, long connectTimeoutNs, long idleNs, long drainGraceNs, int most) {
+    Connections(Loop loop, long connectTimeoutNs, long idleNs, long drainGraceNs, ConnectionRoom room,
+                Account account) {
         this.loop = loop;
         this.connectTimeoutNs = connectTimeoutNs;
         this.idleNs = (long) (KEPT_SHARE * idleNs);
         this.drainGraceNs = drainGraceNs;
-        this.most = most;
+        this.room = room;
+        this.account = account;
     }
 
     /** An idle connection to the worker, the last one used, or null. */
@@ -65,29 +69,36 @@
      * @return takes the connect back
      */
     Runnable connect(Worker worker, Consumer<HttpConnection> opened) {
-        if (open >= most && !idle.isEmpty()) {
+        boolean free = room.take();
+        if (!free && !idle.isEmpty()) {
             drop(idle.iterator().next()); // room for one that is needed
+            free = room.take();
         }
-        if (open >= most) {
+        if (!free) {
             loop.execute(() -> opened.accept(null));
             return () -> { };
         }
         open++;
-        Runnable connect = HttpConnection.open(loop, worker.address, () -> open--, connection -> {
+        Runnable connect = HttpConnection.open(loop, worker.address, account, this::closed, connection -> {
             if (connection == null) {
-                open--;
+                closed();
             }
             opened.accept(connection);
         });
         return () -> {
-            open--;
+            closed();
             connect.run();
         };
     }
 
+    private void closed() {
+        open--;
+        room.give();
+    }
+
     /** Keeps a connection for later, if it can serve again. */
     void keep(Worker worker, HttpConnection connection) {
-        if (!worker.listed) {
+        if (!worker.listed || !room.keepsIdle()) {
             connection.close();
         }
         if (!connection.isFree()) {
@@ -113,6 +124,13 @@
         }
     }
 
+    /** Closes as many that idle at any worker, the longest idle first. */
+    void closeIdle(int count) {
+        for (int i = 0; i < count && !idle.isEmpty(); i++) {
+            drop(idle.iterator().next());
+        }
+    }
+
     void closeIdle(Worker worker) {
         while (!worker.idle.isEmpty()) {
             drop(worker.idle.peekLast());
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Consumer;
 import org.xnio.XnioExecutor;
 import trailthread.BalancerApi.Load;
@@ -37,6 +38,8 @@
     private long sentAt;
     private boolean over;
     private WorkerAnswer answer;
+    /** The answer's headers, if they are passed on. */
+    private HeaderMap passed;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
 
     Delegation(Loop loop, Connections connections, Worker worker, WorkerRequest request, long timeoutNs,
@@ -91,14 +94,24 @@
         }
         connection = to;
         sentAt = now;
-        RequestEncoder head = new RequestEncoder(request.method(), request.target(), worker.hostPort);
-        if (!request.isProbe()) {
+        Passing passing = request.passing();
+        RequestEncoder head = new RequestEncoder(request.method(), request.target(),
+                passing == null || passing.host().isEmpty() ? worker.hostPort : passing.host());
+        if (passing != null) {
+            List<String> headers = passing.headers();
+            for (int i = 0; i < headers.size(); i += 2) {
+                head.header(headers.get(i), headers.get(i + 1));
+            }
+            head.header("Via", "1.1 trailthread")
+                    .header("X-Correlation-Id", request.id())
+                    .header("X-Time-Left", Seconds.format(endsAt - now));
+        } else if (!request.isProbe()) {
             head.header("X-Correlation-Id", request.id())
                     .header("X-Service-Class", request.requestClass())
                     .header("X-Time-Left", Seconds.format(endsAt - now))
                     .header("Idempotency-Key", request.idempotencyKey());
         }
-        to.send(head.encode(request.method().equals("GET") ? null : request.body()), MOST_BODY_BYTES, this);
+        to.send(head.encode(request.sent()), MOST_BODY_BYTES, request.isHead(), this);
     }
 
     /** Its time is over. An answer that has come and was not read yet is no time-out. */
@@ -117,6 +130,7 @@
     @Override
     public void head(int status, HeaderMap headers) {
         answer = WorkerAnswer.decode(status, headers);
+        passed = request.passing() == null ? null : headers;
     }
 
     @Override
@@ -134,7 +148,7 @@
         long atMostNs = loop.cameBy() - sentAt;
         // What probes take says nothing of what is usual for calls.
         endedAfter(request.isProbe() ? atMostNs : worker.answerTime.told(atLeastNs, atMostNs),
-                answer.outcome());
+                answer.outcome(passed != null));
     }
 
     @Override
@@ -174,10 +188,11 @@
         if (connection != null) {
             connection.close();
         }
-        byte[] made = outcome == Outcome.OK ? body.toByteArray() : null;
+        Made made = outcome != Outcome.OK ? null : passed == null ? Made.of(body.toByteArray())
+                : new Made(answer.status(), passed, body.toByteArray());
         Load load = answer == null ? null : answer.load();
         if (load == null && made != null && request.isProbe()) {
-            load = LoadReport.parse(new String(made, StandardCharsets.UTF_8));
+            load = LoadReport.parse(new String(made.body(), StandardCharsets.UTF_8));
         }
         ended.accept(new Ending(outcome, latencyNs, load, made));
     }
--- a/engine/src/main/java/trailthread/engine/worker/Ending.java
+++ b/engine/src/main/java/trailthread/engine/worker/Ending.java
@@ -7,7 +7,7 @@
  * How a delegation ended.
  *
  * @param load or null
- * @param body what the worker made, if the outcome is OK
+ * @param made what the worker made, if the outcome is OK
  */
-public record Ending(Outcome outcome, long latencyNs, Load load, byte[] body) {
+public record Ending(Outcome outcome, long latencyNs, Load load, Made made) {
 }
--- /dev/null
+++ b/engine/src/main/java/trailthread/engine/worker/Made.java
@@ -0,0 +1,17 @@
+package trailthread.engine.worker;
+
+import io.undertow.util.HeaderMap;
+
+/**
+ * What a worker made of a call.
+ *
+ * @param headers those of its answer, as they came; null where only the body is passed on
+ */
+public record Made(int status, HeaderMap headers, byte[] body) {
+    private static final int OK = 200;
+
+    /** An answer of which only the body is passed on. */
+    public static Made of(byte[] body) {
+        return new Made(OK, null, body);
+    }
+}
--- a/engine/src/main/java/trailthread/engine/worker/Worker.java
+++ b/engine/src/main/java/trailthread/engine/worker/Worker.java
@@ -23,9 +23,7 @@
         answerTime = new AnswerTime(fineNs);
         this.instanceId = instanceId;
         this.hostPort = hostPort;
-        int colon = hostPort.lastIndexOf(':');
-        this.address = new InetSocketAddress(hostPort.substring(0, colon),
-                Integer.parseInt(hostPort.substring(colon + 1)));
+        this.address = Workers.address(hostPort);
     }
 
     void tell(State state, long now) {
--- a/engine/src/main/java/trailthread/engine/worker/WorkerAnswer.java
+++ b/engine/src/main/java/trailthread/engine/worker/WorkerAnswer.java
@@ -23,9 +23,14 @@
         return load;
     }
 
-    /** What a whole answer means; what the protocol does not know claims least: it may have run. */
-    Outcome outcome() {
-        if (status == 200) {
+    /**
+     * What a whole answer means; what the protocol does not know claims least: it may have run.
+     *
+     * @param plain whether a worker may answer with any status. What says that the worker is at fault has failed,
+     *              and 429 too, as only the node's own module refuses
+     */
+    Outcome outcome(boolean plain) {
+        if (status == 200 || plain && status < 500 && status != 429) {
             return Outcome.OK;
         }
         return unprocessed && (status == 503 || status == 504) ? Outcome.FULL : Outcome.ERROR;
--- a/engine/src/main/java/trailthread/engine/worker/WorkerRequest.java
+++ b/engine/src/main/java/trailthread/engine/worker/WorkerRequest.java
@@ -6,11 +6,28 @@
  * @param id             the client's, passed on; null: this is a probe
  * @param target         path and query as the client sent them
  * @param idempotencyKey or null
+ * @param passing        what else is passed on; null: this is the platform's call
  */
 public record WorkerRequest(String id, String requestClass, String method, String target,
-                            String idempotencyKey, byte[] body) {
+                            String idempotencyKey, byte[] body, Passing passing) {
     static final WorkerRequest PROBE =
-            new WorkerRequest(null, null, "GET", "/status/load", null, new byte[0]);
+            new WorkerRequest(null, null, "GET", "/status/load", null, new byte[0], null);
+
+    /** Whether an answer brings no body, whatever length it tells (RFC 9110, 9.3.2). */
+    boolean isHead() {
+        return method.equals("HEAD");
+    }
+
+    /** The body to send, or null: the request has none. */
+    byte[] sent() {
+        if (passing == null) {
+            return method.equals("GET") ? null : body;
+        }
+        // RFC 9110, 8.6: a method that has a meaning for a body tells its length, even if there is none.
+        boolean bare = method.equals("GET") || method.equals("HEAD") || method.equals("DELETE")
+                || method.equals("OPTIONS");
+        return bare && body.length == 0 ? null : body;
+    }
 
     boolean isProbe() {
         return id == null;
--- a/engine/src/main/java/trailthread/engine/worker/Workers.java
+++ b/engine/src/main/java/trailthread/engine/worker/Workers.java
@@ -1,10 +1,12 @@
 package trailthread.engine.worker;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
 import trailthread.BalancerApi.State;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.roster.RosterEntry;
 import trailthread.engine.roster.RosterUpdate;
@@ -15,17 +17,30 @@
     private final Connections connections;
     private final Loop loop;
     private final long fineNs;
+    private final Account account;
 
     /**
-     * @param idleNs         how long a worker leaves an idle connection open
-     * @param mostConnections over all workers
-     * @param fineNs         differences in the time of answers that matter to nobody
+     * @param idleNs  how long a worker leaves an idle connection open
+     * @param room    for connections over all workers
+     * @param fineNs  differences in the time of answers that matter to nobody
+     * @param account what the thread does for these workers is put down to
      */
-    public Workers(Loop loop, long connectTimeoutNs, long idleNs, long drainGraceNs, int mostConnections,
-                   long fineNs) {
+    public Workers(Loop loop, long connectTimeoutNs, long idleNs, long drainGraceNs, ConnectionRoom room,
+                   long fineNs, Account account) {
         this.loop = loop;
         this.fineNs = fineNs;
-        this.connections = new Connections(loop, connectTimeoutNs, idleNs, drainGraceNs, mostConnections);
+        this.account = account;
+        this.connections = new Connections(loop, connectTimeoutNs, idleNs, drainGraceNs, room, account);
+    }
+
+    /**
+     * Where a worker is, as it is told as address:port.
+     *
+     * @throws IllegalArgumentException if it is not
+     */
+    public static InetSocketAddress address(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
     }
 
     /** Takes in the roster's news. */
@@ -68,7 +83,7 @@
                                Consumer<Ending> ended) {
         Worker worker = workers.get(instanceId);
         Delegation delegation = new Delegation(loop, connections, worker, request, timeoutNs, ended);
-        loop.execute(delegation::start);
+        loop.execute(() -> account.charge(delegation::start));
         return delegation;
     }
 
@@ -77,6 +92,11 @@
         delegate(instanceId, WorkerRequest.PROBE, timeoutNs, ended);
     }
 
+    /** Closes as many idle connections, to whichever worker. */
+    public void closeIdle(int count) {
+        connections.closeIdle(count);
+    }
+
     /** Closes the idle connections to a worker. */
     public void closeIdle(String instanceId) {
         Worker worker = workers.get(instanceId);
--- a/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
@@ -19,6 +19,7 @@
 import org.junit.Test;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.roster.RosterEntry;
 import trailthread.engine.roster.RosterUpdate;
@@ -42,14 +43,15 @@
     }
 
     private Workers workers(long connectTimeoutNs) {
-        Workers workers = new Workers(loop, connectTimeoutNs, LONG_NS, 0, 16, 500 * MS);
+        Workers workers = new Workers(loop, connectTimeoutNs, LONG_NS, 0, ConnectionRoom.of(16), 500 * MS,
+                Account.NONE);
         loop.execute(() -> workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
                 "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now()));
         return workers;
     }
 
     private void delegate(Workers workers, long timeoutNs) {
-        workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4]), timeoutNs,
+        workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null), timeoutNs,
                 endings::add);
     }
 
--- a/engine/src/test/java/trailthread/engine/worker/LatencyTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LatencyTest.java
@@ -16,6 +16,7 @@
 import org.junit.Test;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
+import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.roster.RosterEntry;
 import trailthread.engine.roster.RosterUpdate;
@@ -28,7 +29,8 @@
     @Test
     public void theOpeningOfAConnectionIsNoSignOfLoad() throws Exception {
         Loop loop = new Loop("test");
-        Workers workers = new Workers(loop, LONG_NS, LONG_NS, 0, 16, 0);
+        Workers workers = new Workers(loop, LONG_NS, LONG_NS, 0, ConnectionRoom.of(16), 0,
+                Account.NONE);
         BlockingQueue<Ending> endings = new LinkedBlockingQueue<>();
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 Socket first = new Socket(server.getInetAddress(), server.getLocalPort());
@@ -36,7 +38,7 @@
             loop.execute(() -> {
                 workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
                         "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now());
-                workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4]),
+                workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null),
                         LONG_NS, endings::add);
             });
             assertTrue(first.isConnected() && second.isConnected());
--- a/engine/src/test/java/trailthread/engine/worker/WorkerAnswerTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/WorkerAnswerTest.java
@@ -25,8 +25,19 @@
             }
             headers.put(new HttpString("X-Backend-Load"), "{\"queue\":2}");
             WorkerAnswer answer = WorkerAnswer.decode((Integer) c[0], headers);
-            assertEquals(c[0] + " " + c[1], c[2], answer.outcome());
+            assertEquals(c[0] + " " + c[1], c[2], answer.outcome(false));
             assertEquals(2, answer.load().queue(), 0);
         }
     }
+
+    /** What a plain worker may answer, and what says that it is at fault. */
+    @Test
+    public void plainAnswers() {
+        Object[][] cases = {{200, Outcome.OK}, {201, Outcome.OK}, {204, Outcome.OK}, {304, Outcome.OK},
+            {404, Outcome.OK}, {428, Outcome.OK}, {429, Outcome.ERROR}, {500, Outcome.ERROR},
+            {503, Outcome.ERROR}, {599, Outcome.ERROR}};
+        for (Object[] c : cases) {
+            assertEquals(c[0].toString(), c[1], WorkerAnswer.decode((Integer) c[0], new HeaderMap()).outcome(true));
+        }
+    }
 }
--- a/testkit/src/main/java/trailthread/testkit/Message.java
+++ b/testkit/src/main/java/trailthread/testkit/Message.java
@@ -15,6 +15,11 @@
 
     /** Reads one whole message; null if the connection ends before it begins. */
     public static Message read(Socket connection) throws IOException {
+        return read(connection, false);
+    }
+
+    /** The same; an answer to HEAD has no body, whatever its head says. */
+    public static Message read(Socket connection, boolean bodiless) throws IOException {
         InputStream in = connection.getInputStream();
         String start = line(in);
         if (start == null) {
@@ -25,7 +30,8 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        // RFC 9112, 6.3: the length in an answer to HEAD is no body's.
+        int length = bodiless ? 0 : Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = in.readNBytes(length);
         if (body.length < length) {
             throw new EOFException("ended in the body");
--- a/testkit/src/main/java/trailthread/testkit/Stage.java
+++ b/testkit/src/main/java/trailthread/testkit/Stage.java
@@ -64,6 +64,16 @@
         return this;
     }
 
+    /** Starts the program with an operator's file, through the command line; it then serves. */
+    public Stage serve(String toml) throws IOException, InterruptedException {
+        log.clear();
+        runClass(toml, List.of("trailthread.command.Trailthread", "serve", config.toString()));
+        Matcher serves = SERVES.matcher(logged("serves on"));
+        assertTrue(serves.find());
+        port = Integer.parseInt(serves.group(1));
+        return this;
+    }
+
     public String config(String settings, Peer... known) {
         return config(roster, settings, known);
     }
@@ -76,11 +86,17 @@
 
     /** Runs the program with this configuration; what it writes goes to the log. */
     public Process run(String json, String... args) throws IOException {
-        Files.writeString(config, json);
+        List<String> words = new ArrayList<>(List.of("trailthread.daemon.Main"));
+        words.addAll(List.of(args));
+        return runClass(json, words);
+    }
+
+    private Process runClass(String text, List<String> words) throws IOException {
+        Files.writeString(config, text);
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "-Xmx64m", "trailthread.daemon.Main"));
-        command.addAll(List.of(args));
+                "-cp", System.getProperty("java.class.path"), "-Xmx64m"));
+        command.addAll(words);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("LB_CONFIG", config.toString());
         node = builder.start();
@@ -158,6 +174,12 @@
         signal("HUP");
     }
 
+    /** How many file descriptors the program holds. */
+    public int descriptors() {
+        String[] held = Path.of("/proc", Long.toString(node.pid()), "fd").toFile().list();
+        return held == null ? -1 : held.length;
+    }
+
     /** Sends the program a signal, which has been delivered when this returns. */
     public void signal(String name) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(node.pid())).start().waitFor());
