--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What there is to do here; deploy/balancer.toml holds the commands that the platform runs.
-.PHONY: build test lint run bench isolation jmh clean
+.PHONY: build test lint run platform bench isolation jmh clean
 
 MVN = mvn
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
@@ -16,7 +16,15 @@
 lint:
 	$(MVN) -q checkstyle:check@lint
 
+# Two services behind one node, with a small stand-in worker for each; ends with it.
+FILE ?= deploy/operator.example.toml
+STANDINS ?= 8 20 9001 4 50 9002
 run: build
+	java -Xmx32m -cp benchmarks/target/classes trailthread.benchmark.PacedWorkers $(STANDINS) & \
+	trap "kill $$!" EXIT; bin/trailthread serve $(FILE)
+
+# The platform's node, as the platform starts it.
+platform: build
 	LB_CONFIG=$(LB_CONFIG) sh -c "$(RUN)"
 
 # The node and Undertow's proxy before the same workers; docs/benchmarks.md says what the options are.
--- a/benchmarks/src/main/java/trailthread/benchmark/Isolation.java
+++ b/benchmarks/src/main/java/trailthread/benchmark/Isolation.java
@@ -54,9 +54,9 @@
         String classPath = System.getProperty("java.class.path");
         List<String> workers = new ArrayList<>(List.of("java", "-cp", classPath, PacedWorkers.class.getName()));
         for (int i = 0; i < 2; i++) {
-            workers.addAll(List.of(Integer.toString(SIM_SLOTS), Integer.toString(SIM_MS)));
+            workers.addAll(List.of(Integer.toString(SIM_SLOTS), Integer.toString(SIM_MS), "0"));
         }
-        workers.addAll(List.of(Integer.toString(MARKS_SLOTS), Integer.toString(MARKS_MS)));
+        workers.addAll(List.of(Integer.toString(MARKS_SLOTS), Integer.toString(MARKS_MS), "0"));
         System.out.printf("%-8s %-6s %8s %8s %8s %8s %8s %8s %6s %5s%n", "phase", "who", "served/s", "p50 ms", "p99 ms",
                 "p99.9", "refused", "failed", "late", "node%");
         try (Child fleet = new Child(cores[1], Map.of(), workers)) {
--- a/benchmarks/src/main/java/trailthread/benchmark/PacedWorkers.java
+++ b/benchmarks/src/main/java/trailthread/benchmark/PacedWorkers.java
@@ -17,13 +17,13 @@
     private PacedWorkers() {
     }
 
-    /** Takes pairs of slots and milliseconds, one pair a worker; prints their ports. */
+    /** Takes slots, milliseconds and port (0: any that is free) of each worker in turn; prints their ports. */
     public static void main(String[] args) throws IOException {
         StringBuilder ports = new StringBuilder("ports");
-        for (int i = 0; i < args.length; i += 2) {
+        for (int i = 0; i < args.length; i += 3) {
             Semaphore slots = new Semaphore(Integer.parseInt(args[i]), true);
             long ms = Long.parseLong(args[i + 1]);
-            ServerSocket server = new ServerSocket(0, 1024, InetAddress.getLoopbackAddress());
+            ServerSocket server = new ServerSocket(Integer.parseInt(args[i + 2]), 1024, InetAddress.getLoopbackAddress());
             ports.append(' ').append(server.getLocalPort());
             thread(() -> {
                 while (true) {
