--- a/benchmarks/src/main/java/trailthread/benchmark/PacedWorkers.java
+++ b/benchmarks/src/main/java/trailthread/benchmark/PacedWorkers.java
@@ -23,7 +23,8 @@
         for (int i = 0; i < args.length; i += 3) {
             Semaphore slots = new Semaphore(Integer.parseInt(args[i]), true);
             long ms = Long.parseLong(args[i + 1]);
-            ServerSocket server = new ServerSocket(Integer.parseInt(args[i + 2]), 1024, InetAddress.getLoopbackAddress());
+            ServerSocket server = new ServerSocket(Integer.parseInt(args[i + 2]), 1024,
+                    InetAddress.getLoopbackAddress());
             ports.append(' ').append(server.getLocalPort());
             thread(() -> {
                 while (true) {
--- a/configuration/src/main/java/trailthread/configuration/Nearest.java
+++ b/configuration/src/main/java/trailthread/configuration/Nearest.java
@@ -3,12 +3,12 @@
 import java.util.Collection;
 
 /** Finds what was probably meant (Levenshtein, "Binary codes capable of correcting deletions...", 1966). */
-final class Nearest {
+public final class Nearest {
     private Nearest() {
     }
 
     /** The known word that is nearest, or null if none is near: within two letters, or a third of them. */
-    static String of(String word, Collection<String> known) {
+    public static String of(String word, Collection<String> known) {
         String nearest = null;
         int least = Integer.MAX_VALUE;
         for (String candidate : known) {
--- a/configuration/src/main/java/trailthread/configuration/Units.java
+++ b/configuration/src/main/java/trailthread/configuration/Units.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** Durations and sizes with their units, such as 250ms and 64KiB; pure. */
-final class Units {
+public final class Units {
     private static final Map<String, Long> TIMES = new LinkedHashMap<>();
     private static final Map<String, Long> SIZES = new LinkedHashMap<>();
 
@@ -30,7 +30,7 @@
      *
      * @throws IllegalArgumentException if it is no duration
      */
-    static long nanoseconds(String text) {
+    public static long nanoseconds(String text) {
         return parse(text, TIMES);
     }
 
@@ -39,7 +39,7 @@
      *
      * @throws IllegalArgumentException if it is no size
      */
-    static long bytes(String text) {
+    public static long bytes(String text) {
         return parse(text, SIZES);
     }
 
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/command/CompareCommand.java
@@ -0,0 +1,69 @@
+package trailthread.lab.command;
+
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import trailthread.lab.experiment.Comparison;
+import trailthread.lab.experiment.Result;
+import trailthread.lab.experiment.Runs;
+import trailthread.lab.peers.Policies;
+import trailthread.lab.peers.Policy;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.ScenarioReader;
+
+/** Compares policies over the same seeds. */
+@Command(name = "compare",
+        description = "Plays scenarios with each policy over the same seeds, and says who is better.",
+        mixinStandardHelpOptions = true)
+final class CompareCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "SCENARIO", arity = "1..*", description = "Scenario files.")
+    private List<Path> files;
+
+    @Option(names = "--policy", paramLabel = "NAME", split = ",", description = "Which; all if not given. The first is "
+            + "compared with each other one.")
+    private List<String> policies = Policies.all().stream().map(Policy::name).toList();
+
+    @Mixin
+    private RunOptions options;
+
+    @Option(names = "--out", paramLabel = "FILE", description = "Adds each result as a line of JSON.")
+    private Path out;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter print = spec.commandLine().getOut();
+        for (Path file : files) {
+            Scenario scenario = ScenarioReader.read(file);
+            List<Runs.Order> orders = new ArrayList<>();
+            for (String policy : policies) {
+                for (long seed : options.all()) {
+                    orders.add(new Runs.Order(scenario, Policies.named(policy), seed));
+                }
+            }
+            List<Result> results = Runs.make(orders, options.threads, result -> { });
+            print.println(new Comparison(results, policies.get(0)).table());
+            print.flush();
+            if (out != null) {
+                for (Result result : results) {
+                    Files.writeString(out, result.json() + "\n", StandardCharsets.UTF_8, StandardOpenOption.CREATE,
+                            StandardOpenOption.APPEND);
+                }
+            }
+        }
+        return Lab.DONE;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/command/SimulateCommand.java
@@ -0,0 +1,86 @@
+package trailthread.lab.command;
+
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import trailthread.lab.experiment.Result;
+import trailthread.lab.experiment.Runs;
+import trailthread.lab.peers.Policies;
+import trailthread.lab.referee.Violation;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.ScenarioReader;
+import trailthread.lab.world.World;
+
+/** Plays scenarios in virtual time. */
+@Command(name = "simulate", description = "Plays scenarios in virtual time, and judges them.",
+        mixinStandardHelpOptions = true)
+final class SimulateCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "SCENARIO", arity = "1..*", description = "Scenario files.")
+    private List<Path> files;
+
+    @Option(names = "--policy", paramLabel = "NAME", split = ",", description = "Whose decisions; see: lab policies.")
+    private List<String> policies = List.of(Policies.TRAILTHREAD.name());
+
+    @Mixin
+    private RunOptions options;
+
+    @Option(names = "--out", paramLabel = "FILE", description = "Adds each result as a line of JSON.")
+    private Path out;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter print = spec.commandLine().getOut();
+        List<Runs.Order> orders = new ArrayList<>();
+        for (Path file : files) {
+            Scenario scenario = ScenarioReader.read(file);
+            for (String policy : policies) {
+                for (long seed : options.all()) {
+                    orders.add(new Runs.Order(scenario, Policies.named(policy), seed));
+                }
+            }
+        }
+        print.println(Result.head());
+        List<Result> results = Runs.make(orders, options.threads, result -> { });
+        int status = Lab.DONE;
+        for (int i = 0; i < results.size(); i++) {
+            Result result = results.get(i);
+            print.println(result.row());
+            if (out != null) {
+                Files.writeString(out, result.json() + "\n", StandardCharsets.UTF_8, StandardOpenOption.CREATE,
+                        StandardOpenOption.APPEND);
+            }
+            if (!result.broken().isEmpty()) {
+                status = Lab.BROKEN;
+                tell(orders.get(i), print);
+            }
+        }
+        double events = results.stream().mapToLong(Result::events).sum();
+        double ms = results.stream().mapToDouble(Result::wallMs).sum();
+        double decisions = results.stream().mapToDouble(Result::decisionMs).sum();
+        print.printf(Locale.ROOT,
+                "%.0f events, %.2f million a second on each thread; %.0f%% of the time in the decisions%n", events,
+                events / ms / 1e3, 100 * decisions / ms);
+        return status;
+    }
+
+    /** The same run once more, which is the same to the last event, for the histories of what was broken. */
+    private static void tell(Runs.Order order, PrintWriter print) {
+        World.Day day = World.play(order.scenario(), order.policy(), order.seed());
+        day.referee().violations().stream().limit(3).map(Violation::told).forEach(print::println);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/experiment/Runs.java
@@ -0,0 +1,57 @@
+package trailthread.lab.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import trailthread.lab.peers.Policy;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.world.ModuleFault;
+import trailthread.lab.world.World;
+
+/** Runs in virtual time, many at once; what they come to does not depend on how many. */
+public final class Runs {
+    /** One run that is to be made. */
+    public record Order(Scenario scenario, Policy policy, long seed) {
+    }
+
+    private Runs() {
+    }
+
+    /**
+     * Makes these runs on so many threads; their results in the order of the orders.
+     *
+     * @param finished hears of each as it comes, from whichever thread
+     * @throws ModuleFault if the decisions of one have asked for what nobody can do
+     */
+    public static List<Result> make(List<Order> orders, int threads, Consumer<Result> finished)
+            throws InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<Result>> futures = new ArrayList<>();
+            for (Order order : orders) {
+                futures.add(pool.submit(() -> {
+                    Result result = Result.of(order.scenario(), order.policy().name(), order.seed(),
+                            World.play(order.scenario(), order.policy(), order.seed()));
+                    finished.accept(result);
+                    return result;
+                }));
+            }
+            List<Result> results = new ArrayList<>();
+            for (Future<Result> future : futures) {
+                results.add(future.get());
+            }
+            return results;
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof ModuleFault fault) {
+                throw fault;
+            }
+            throw new IllegalStateException(e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/peers/LeastOutstanding.java
@@ -0,0 +1,17 @@
+package trailthread.lab.peers;
+
+import java.util.List;
+import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.Settings;
+
+/** The worker with the fewest of this node's own requests out; ties at random. */
+final class LeastOutstanding extends PlainPolicy {
+    LeastOutstanding(Settings settings, long seed, Actions actions) {
+        super(settings, seed, actions);
+    }
+
+    @Override
+    Backend choose(List<Backend> among, long now) {
+        return least(among, b -> b.outstanding);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/peers/Prequal.java
@@ -0,0 +1,109 @@
+package trailthread.lab.peers;
+
+import java.util.ArrayList;
+import java.util.List;
+import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.Load;
+import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.Settings;
+
+/**
+ * Prequal (Wydrowski, Kleinberg, Rumble, Archer: "Load is not what you should balance", NSDI 2024): each request sends
+ * three probes and is sent by what a pool of earlier answers says. Workers with more requests in flight than a quantile
+ * of those seen are hot; among the cold the one of least latency is taken, and if all are hot the one with the fewest
+ * requests in flight. Figures are the paper's (section 4 and its table of parameters).
+ */
+final class Prequal extends PlainPolicy {
+    private static final int PROBES = 3;
+    private static final int POOL = 16;
+    private static final long PROBE_LIVES_NS = 1_000_000_000L;
+    private static final double HOT_QUANTILE = 0.8408964152537145; // 2^-0.25
+    private static final double REMOVED = 1;
+    private static final double DELTA = 1;
+    private static final int LEAST_POOL = 2;
+
+    private static final class Probe {
+        final Backend backend;
+        final long at;
+        double inflight;
+        final double latencyMs;
+        double uses;
+
+        Probe(Backend backend, long at, double inflight, double latencyMs, double uses) {
+            this.backend = backend;
+            this.at = at;
+            this.inflight = inflight;
+            this.latencyMs = latencyMs;
+            this.uses = uses;
+        }
+    }
+
+    /** The oldest first. */
+    private final List<Probe> pool = new ArrayList<>();
+    private boolean worstNext;
+
+    Prequal(Settings settings, long seed, Actions actions) {
+        super(settings, seed, actions);
+    }
+
+    @Override
+    public void probed(long now, String backend, Outcome outcome, long latency, Load load) {
+        Backend of = known(backend);
+        if (outcome == Outcome.OK && load != null && of != null) {
+            double reuse = Math.max(1, (1 + DELTA) / Math.max(0.01,
+                    (1 - (double) POOL / Math.max(POOL + 1, ready().size())) * PROBES - REMOVED));
+            pool.add(new Probe(of, now, load.inflight(), load.latencyMs() >= 0 ? load.latencyMs() : 0, reuse));
+            if (pool.size() > POOL) {
+                pool.remove(0);
+            }
+        }
+    }
+
+    @Override
+    Backend choose(List<Backend> among, long now) {
+        if (settings.mayProbe) {
+            for (int i = 0; i < PROBES; i++) {
+                actions.probe(ready().get(random.nextInt(ready().size())).name);
+            }
+        }
+        pool.removeIf(p -> now - p.at > PROBE_LIVES_NS);
+        List<Probe> fit = pool.stream().filter(p -> among.contains(p.backend)).toList();
+        if (fit.size() < LEAST_POOL) {
+            return among.get(random.nextInt(among.size()));
+        }
+        double[] inflight = fit.stream().mapToDouble(p -> p.inflight).sorted().toArray();
+        double hot = inflight[Math.min(inflight.length - 1, (int) (HOT_QUANTILE * inflight.length))];
+        Probe best = null;
+        for (Probe p : fit) {
+            best = best == null || better(p, best, hot) ? p : best;
+        }
+        best.inflight++;
+        if (--best.uses <= 0) {
+            pool.remove(best);
+        }
+        removeOne(hot);
+        return best.backend;
+    }
+
+    /** Hot-cold lexicographic. */
+    private static boolean better(Probe a, Probe b, double hot) {
+        boolean aHot = a.inflight >= hot && hot > 0;
+        boolean bHot = b.inflight >= hot && hot > 0;
+        return aHot != bHot ? bHot : aHot ? a.inflight < b.inflight : a.latencyMs < b.latencyMs;
+    }
+
+    /** One a request, by turns the oldest and the worst, so that the pool does not fill with what was not chosen. */
+    private void removeOne(double hot) {
+        if (pool.size() <= LEAST_POOL) {
+            return;
+        }
+        Probe out = pool.get(0);
+        if (worstNext) {
+            for (Probe p : pool) {
+                out = better(out, p, hot) ? p : out;
+            }
+        }
+        worstNext = !worstNext;
+        pool.remove(out);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/peers/RandomChoice.java
@@ -0,0 +1,17 @@
+package trailthread.lab.peers;
+
+import java.util.List;
+import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.Settings;
+
+/** Any worker, each with the same chance. */
+final class RandomChoice extends PlainPolicy {
+    RandomChoice(Settings settings, long seed, Actions actions) {
+        super(settings, seed, actions);
+    }
+
+    @Override
+    Backend choose(List<Backend> among, long now) {
+        return among.get(random.nextInt(among.size()));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/peers/SnsLottery.java
@@ -0,0 +1,39 @@
+package trailthread.lab.peers;
+
+import java.util.List;
+import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.Settings;
+
+/**
+ * The paper's lottery, with nothing else of this project's: tickets inverse to the reported queue, smoothed, with the
+ * correction by own sends since the report, or without (Chawathe and Brewer, "System Support for Scalable and Fault
+ * Tolerant Internet Services", 1998, 3.2).
+ */
+final class SnsLottery extends PlainPolicy {
+    private final boolean corrected;
+
+    SnsLottery(Settings settings, long seed, Actions actions, boolean corrected) {
+        super(settings, seed, actions);
+        this.corrected = corrected;
+    }
+
+    private double tickets(Backend b) {
+        return 1 / (1 + b.told + (corrected ? b.sentSince : 0));
+    }
+
+    @Override
+    Backend choose(List<Backend> among, long now) {
+        double sum = 0;
+        for (Backend b : among) {
+            sum += tickets(b);
+        }
+        double draw = random.nextDouble() * sum;
+        for (Backend b : among) {
+            draw -= tickets(b);
+            if (draw < 0) {
+                return b;
+            }
+        }
+        return among.get(among.size() - 1);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/peers/Truth.java
@@ -0,0 +1,10 @@
+package trailthread.lab.peers;
+
+/** What no real node can see: the workers as they are now. Only {@link Oracle} looks. */
+public interface Truth {
+    /**
+     * How long one more request would take there, for each ns of its work, behind all that it holds
+     * and that is on its way to it; infinite where it would not be served.
+     */
+    double stretch(String worker);
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/random/Streams.java
@@ -0,0 +1,49 @@
+package trailthread.lab.random;
+
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Streams of random numbers, each by its name: what one part of a run draws moves no other part, so that two policies
+ * meet the same clients, work and faults (common random numbers: Law, "Simulation Modeling and Analysis", 11.2).
+ */
+public final class Streams {
+    private final long seed;
+
+    /** All streams come from this seed. */
+    public Streams(long seed) {
+        this.seed = seed;
+    }
+
+    /** The stream of this name; the same each time. */
+    public UniformRandomProvider of(String name) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seedOf(name));
+    }
+
+    /** A seed by a name, for what makes its own numbers. */
+    public long seedOf(String name) {
+        long hash = mix(seed ^ 0x9e3779b97f4a7c15L);
+        for (byte b : name.getBytes(StandardCharsets.UTF_8)) {
+            hash = mix(hash * 31 + b);
+        }
+        return hash;
+    }
+
+    /** The finaliser of splitmix64 (Steele, Lea, Flood, OOPSLA 2014). */
+    private static long mix(long z) {
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
+    /** Exponential with this mean: StrictMath, as other logarithms may differ in the last bit between machines. */
+    public static double exponential(UniformRandomProvider random, double mean) {
+        return -mean * StrictMath.log(1 - random.nextDouble());
+    }
+
+    /** Uniform from low to high. */
+    public static double uniform(UniformRandomProvider random, double low, double high) {
+        return low + (high - low) * random.nextDouble();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/referee/Referee.java
@@ -0,0 +1,234 @@
+package trailthread.lab.referee;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.Semantics;
+
+/**
+ * Watches a run, virtual or real, from outside, and judges it by the rules. It is told what happened, in order, and
+ * asks nothing of those it judges: an attempt counts as one that may have run from its last byte on, whatever its node
+ * makes of its end.
+ */
+public final class Referee {
+    /** Violations that are kept with their histories; more are counted. */
+    private static final int MOST_KEPT = 20;
+
+    /** A place where an attempt runs, as far as repeats go. */
+    public record Place(String worker, String zone, int cell) {
+    }
+
+    private static final class Watched {
+        final CallTerms terms;
+        final List<Moment> history = new ArrayList<>(6);
+        /** The place and time of the first attempt that reached a worker and was not turned away by it. */
+        Place firstRan;
+        long firstRanSent;
+        int out;
+        boolean answered;
+        boolean released;
+        /** The attempts, by number, that are out. */
+        final Map<Integer, Sent> sent = new HashMap<>(2);
+
+        Watched(CallTerms terms) {
+            this.terms = terms;
+        }
+    }
+
+    private record Sent(Place place, long at) {
+    }
+
+    private final long answerSlackNs;
+    private final long drainGraceNs;
+    private final Map<String, Watched> calls = new HashMap<>();
+    /** When each node was told that a worker wants nothing new. */
+    private final Map<String, Long> drainTold = new HashMap<>();
+    private final Map<Rule, Integer> broken = new EnumMap<>(Rule.class);
+    private final List<Violation> kept = new ArrayList<>();
+    private long judged;
+
+    /**
+     * @param answerSlackNs how far past its deadline an answer still counts
+     * @param drainGraceNs  how long after the news of a drain something new may still be sent
+     */
+    public Referee(long answerSlackNs, long drainGraceNs) {
+        this.answerSlackNs = answerSlackNs;
+        this.drainGraceNs = drainGraceNs;
+    }
+
+    /** How often each rule was broken; without those that were kept. */
+    public Map<Rule, Integer> broken() {
+        return new EnumMap<>(broken);
+    }
+
+    /** The first violations, with their histories. */
+    public List<Violation> violations() {
+        return List.copyOf(kept);
+    }
+
+    /** Calls that have been judged to their ends. */
+    public long judged() {
+        return judged;
+    }
+
+    /** Calls whose ends are still to come. */
+    public int open() {
+        return calls.size();
+    }
+
+    private void violated(Rule rule, long at, String who, String what, List<Moment> history) {
+        broken.merge(rule, 1, Integer::sum);
+        if (kept.size() < MOST_KEPT) {
+            kept.add(new Violation(rule, at, who, what, List.copyOf(history)));
+        }
+    }
+
+    /** A node has taken a call, under a name that no other call has. */
+    public void taken(long at, String call, CallTerms terms) {
+        Watched watched = new Watched(terms);
+        calls.put(call, watched);
+        watched.history.add(new Moment(at, Moment.What.TAKEN, -1, null, terms.requestClass()));
+    }
+
+    /** An attempt leaves its node; its last byte need not have. */
+    public void sent(long at, String call, int attempt, String node, Place place) {
+        Watched watched = calls.get(call);
+        if (watched == null) {
+            violated(Rule.REPEATS, at, call, "an attempt for a call that is over or was never taken", List.of());
+            return;
+        }
+        watched.history.add(new Moment(at, Moment.What.SENT, attempt, place.worker(), null));
+        if (watched.out > 0) {
+            violated(Rule.ONE_ATTEMPT, at, call, "another attempt is still out", watched.history);
+        }
+        watched.out++;
+        watched.sent.put(attempt, new Sent(place, at));
+        Long told = drainTold.get(node + " " + place.worker());
+        if (told != null && at > told + drainGraceNs) {
+            violated(Rule.DRAINS, at, call, String.format(Locale.ROOT,
+                    "%s was told at %.6f s that %s wants nothing new", node, told / 1e9, place.worker()),
+                    watched.history);
+        }
+    }
+
+    /** An attempt's last byte has come to its worker, which has not turned it away: from now on it may run. */
+    public void begun(long at, String call, int attempt) {
+        Watched watched = calls.get(call);
+        if (watched == null || !watched.sent.containsKey(attempt)) {
+            return; // its client and its node have forgotten it
+        }
+        Sent sent = watched.sent.get(attempt);
+        watched.history.add(new Moment(at, Moment.What.BEGUN, attempt, sent.place.worker(), null));
+        if (watched.firstRan == null) {
+            watched.firstRan = sent.place;
+            watched.firstRanSent = sent.at;
+        } else if (!mayRepeat(watched, sent.place, at)) {
+            violated(Rule.REPEATS, at, call, "it may have run at " + watched.firstRan.worker() + " before",
+                    watched.history);
+        }
+    }
+
+    private static boolean mayRepeat(Watched watched, Place place, long at) {
+        CallTerms terms = watched.terms;
+        if (terms.semantics() == Semantics.SAFE) {
+            return true;
+        }
+        if (terms.semantics() == Semantics.UNSAFE || at > watched.firstRanSent + terms.windowNs()) {
+            return false;
+        }
+        return switch (terms.group()) {
+            case ALL -> true;
+            case ZONE -> place.zone().equals(watched.firstRan.zone());
+            case CELL -> place.cell() >= 0 && place.cell() == watched.firstRan.cell()
+                    || place.worker().equals(watched.firstRan.worker());
+        };
+    }
+
+    /** An attempt's node has heard, or decided, how it ended. */
+    public void ended(long at, String call, int attempt, Outcome outcome) {
+        Watched watched = calls.get(call);
+        if (watched != null) {
+            watched.history.add(new Moment(at, Moment.What.ENDED, attempt, null, outcome));
+            watched.out--;
+            release(call, watched);
+        }
+    }
+
+    /** A node answers a call. */
+    public void answered(long at, String call, String how) {
+        Watched watched = calls.get(call);
+        if (watched == null) {
+            violated(Rule.ONE_ANSWER, at, call, "answered (" + how + ") after its end", List.of());
+            return;
+        }
+        watched.history.add(new Moment(at, Moment.What.ANSWERED, -1, null, how));
+        if (watched.answered) {
+            violated(Rule.ONE_ANSWER, at, call, "a second answer", watched.history);
+        } else if (at > watched.terms.deadline() + answerSlackNs) {
+            violated(Rule.IN_TIME, at, call, String.format(Locale.ROOT, "%.3f ms after its deadline",
+                    (at - watched.terms.deadline()) / 1e6), watched.history);
+        }
+        watched.answered = true;
+        release(call, watched);
+    }
+
+    /** The client has gone early, or its node was killed: no answer is owed any more. */
+    public void gone(long at, String call) {
+        Watched watched = calls.get(call);
+        if (watched != null) {
+            watched.history.add(new Moment(at, Moment.What.CLIENT_GONE, -1, null, null));
+            watched.released = true;
+            release(call, watched);
+        }
+    }
+
+    /** The client's time is over, with all slack, and nothing came. */
+    public void overdue(long at, String call) {
+        Watched watched = calls.get(call);
+        if (watched != null && !watched.answered && !watched.released) {
+            watched.history.add(new Moment(at, Moment.What.OVERDUE, -1, null, null));
+            violated(Rule.IN_TIME, at, call, "no answer", watched.history);
+            watched.released = true;
+            release(call, watched);
+        }
+    }
+
+    /** A node was killed: what it had is over. */
+    public void forget(String call) {
+        if (calls.remove(call) != null) {
+            judged++;
+        }
+    }
+
+    private void release(String call, Watched watched) {
+        if ((watched.answered || watched.released) && watched.out <= 0) {
+            calls.remove(call);
+            judged++;
+        }
+    }
+
+    /** A node has been told that a worker drains or is gone, or that it is ready (again). */
+    public void told(long at, String node, String worker, boolean wantsNew) {
+        if (wantsNew) {
+            drainTold.remove(node + " " + worker);
+        } else {
+            drainTold.putIfAbsent(node + " " + worker, at);
+        }
+    }
+
+    /** A cold worker has fallen over. */
+    public void fell(long at, String worker) {
+        violated(Rule.COLD_STARTS, at, worker, "it was sent more than a cold worker bears", List.of());
+    }
+
+    /** The run is over: calls that are still owed an answer were lost. */
+    public void finish(long at) {
+        for (String call : new ArrayList<>(calls.keySet())) {
+            overdue(at, call);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/scenario/ScenarioReader.java
@@ -0,0 +1,195 @@
+package trailthread.lab.scenario;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import trailthread.BalancerApi.Group;
+import trailthread.BalancerApi.RequestClass;
+import trailthread.BalancerApi.Semantics;
+import trailthread.BalancerApi.Tenant;
+import trailthread.configuration.Fault;
+import trailthread.lab.scenario.Scenario.ClassLaw;
+import trailthread.lab.scenario.Scenario.ClientLaw;
+import trailthread.lab.scenario.Scenario.Draw;
+import trailthread.lab.scenario.Scenario.FleetLaw;
+import trailthread.lab.scenario.Scenario.ListLaw;
+import trailthread.lab.scenario.Scenario.NetworkLaw;
+import trailthread.lab.scenario.Scenario.RuleLaw;
+import trailthread.lab.scenario.Scenario.Surge;
+import trailthread.lab.scenario.Scenario.Trouble;
+import trailthread.lab.worker.WorkerLaw;
+
+/** Reads scenarios; docs/lab-scenarios.md lists the keys. */
+public final class ScenarioReader {
+    private static final String LONGEST = "1000h";
+
+    /** A scenario that can't be used. */
+    public static final class BadScenario extends Exception {
+        private static final long serialVersionUID = 1;
+        private final transient List<Fault> faults;
+
+        BadScenario(List<Fault> faults) {
+            super(String.join("\n", faults.stream().map(Fault::toString).toList()));
+            this.faults = List.copyOf(faults);
+        }
+
+        /** One at least. */
+        public List<Fault> faults() {
+            return faults;
+        }
+    }
+
+    private final List<Fault> faults = new ArrayList<>();
+
+    private ScenarioReader() {
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws BadScenario with all its faults
+     */
+    public static Scenario read(Path file) throws IOException, BadScenario {
+        return parse(file.toString(), Files.readString(file, StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Reads a text; pure.
+     *
+     * @param name stands in faults
+     * @throws BadScenario with all its faults
+     */
+    public static Scenario parse(String name, String text) throws BadScenario {
+        ScenarioReader reader = new ScenarioReader();
+        TomlParseResult toml = Toml.parse(text);
+        toml.errors().forEach(e -> reader.faults.add(new Fault(name, e.position().line(), e.position().column(), "",
+                "TOML", e.getMessage())));
+        Scenario scenario = reader.faults.isEmpty() ? reader.scenario(new Part(name, reader.faults, toml, null, ""))
+                : null;
+        if (!reader.faults.isEmpty()) {
+            throw new BadScenario(reader.faults);
+        }
+        return scenario;
+    }
+
+    private Scenario scenario(Part top) {
+        String name = top.text("name", null);
+        String about = top.text("about", "");
+        long length = top.time("length", null);
+        long warmUp = top.time("warm_up", "0s");
+        int nodes = top.whole("nodes", 1, 1, 10_000);
+        List<String> zones = top.texts("zones", List.of("a"));
+        List<ClassLaw> classes = new ArrayList<>();
+        top.parts("classes").forEach(part -> classes.add(requestClass(part)));
+        if (classes.isEmpty()) {
+            top.fault("classes", "at least one, begun with [[classes]]");
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (Part part : top.parts("tenants")) {
+            tenants.add(new Tenant(part.text("name", null), part.number("per_second", 1e9, 0, 1e9),
+                    part.number("share", null, 0, 1)));
+            part.end();
+        }
+        ClientLaw clients = clients(top.part("clients"));
+        NetworkLaw network = network(top.part("network"));
+        FleetLaw fleet = fleet(top.part("fleet"));
+        Part list = top.part("list");
+        long[] delay = list.times("delay", "500ms");
+        list.end();
+        RuleLaw rules = rules(top.part("rules"));
+        List<Scenario.Fault> troubles = new ArrayList<>();
+        top.parts("faults").forEach(part -> troubles.add(trouble(part, zones)));
+        top.end();
+        return faults.isEmpty() ? new Scenario(name, about, length, warmUp, nodes, zones, classes, tenants, clients,
+                network, fleet, new ListLaw(delay[0], delay[1]), rules, troubles) : null;
+    }
+
+    private static ClassLaw requestClass(Part part) {
+        long[] work = part.times("work", null);
+        Draw draw = part.word("draw", work[0] == work[1] ? Draw.FIXED : Draw.UNIFORM, Draw.class);
+        RequestClass rules = new RequestClass(part.text("name", null), part.time("aim", null), 0,
+                part.time("deadline", null), part.word("repeats", Semantics.SAFE, Semantics.class),
+                part.word("group", Group.ALL, Group.class), part.time("window", "0s"),
+                part.number("worth", 1.0, 0, 1e6), part.number("late_worth", 0.0, 0, 1));
+        ClassLaw law = new ClassLaw(rules, part.number("share", 1.0, 0, 1e6), draw, work[0], work[1]);
+        part.end();
+        return law;
+    }
+
+    private static ClientLaw clients(Part part) {
+        List<Surge> surges = new ArrayList<>();
+        for (Part surge : part.parts("surges")) {
+            surges.add(new Surge(surge.time("at", null), surge.time("for", null),
+                    surge.number("times", null, 0, 1000)));
+            surge.end();
+        }
+        double[] patience = part.numbers("patience", 1, 0.01, 1);
+        ClientLaw law = new ClientLaw(part.number("per_second", null, 0.001, 1e7), surges,
+                part.time("swing_period", "0s"), part.number("swing", 0.0, 0, 1), part.whole("retries", 0, 0, 20),
+                part.time("backoff", "100ms"), part.flag("heeds", true), patience[0], patience[1],
+                part.whole("keys", 0, 0, 1_000_000_000));
+        part.end();
+        return law;
+    }
+
+    private static NetworkLaw network(Part part) {
+        NetworkLaw law = new NetworkLaw(part.time("near", "200us"), part.time("far", "4ms"),
+                part.number("jitter", 0.2, 0, 10), part.time("open_work", "0s"), part.time("dial", "100ms"),
+                part.time("idle_close", "5s"), part.whole("connections", 1000, 1, 1_000_000));
+        part.end();
+        return law;
+    }
+
+    private static FleetLaw fleet(Part part) {
+        Part jam = part.part("jam");
+        WorkerLaw.Jam jamLaw = new WorkerLaw.Jam(jam.number("waiting_per_core", Double.POSITIVE_INFINITY, 0,
+                Double.POSITIVE_INFINITY), jam.time("after", LONGEST), jam.number("slower", 1.0, 1, 1000),
+                jam.number("idle", 0.5, 0, 1000), jam.time("calm", "1s"));
+        jam.end();
+        Part cold = part.part("cold");
+        WorkerLaw.Cold coldLaw = new WorkerLaw.Cold(cold.number("share", 1.0, 0.001, 1), cold.time("warm", "0s"),
+                cold.number("multiple", Double.POSITIVE_INFINITY, 1, Double.POSITIVE_INFINITY),
+                cold.time("window", "1s"));
+        cold.end();
+        int cores = part.whole("cores", 1, 1, 10_000);
+        int slots = part.whole("slots", 1_000_000, 1, 1_000_000);
+        WorkerLaw law = new WorkerLaw(1, cores, slots, part.whole("room", 1_000_000, 0, 1_000_000),
+                part.number("crowding", 0.0, 0, 10), jamLaw, coldLaw, part.flag("cancel_stops", false));
+        double[] speed = part.numbers("speed", 1, 0.001, 1000);
+        long[] every = part.times("report_every", "500ms");
+        FleetLaw fleet = new FleetLaw(part.whole("workers", null, 1, 100_000), law, speed[0], speed[1],
+                part.whole("cells", 0, 0, 100_000), part.flag("reports", true), every[0], every[1],
+                part.number("noise", 0.0, 0, 1), part.time("probe_work", "1ms"));
+        part.end();
+        return fleet;
+    }
+
+    private static RuleLaw rules(Part part) {
+        RuleLaw law = new RuleLaw(part.whole("attempts", 3, 1, 100), part.time("answer_slack", "20ms"),
+                part.time("drain_grace", "1s"), part.time("retry_after", "0s"), part.flag("probes", true),
+                part.number("cross_zone_price", 0.0, 0, 1));
+        part.end();
+        return law;
+    }
+
+    private static Scenario.Fault trouble(Part part, List<String> zones) {
+        Trouble trouble = part.word("trouble", null, Trouble.class);
+        String zone = part.text("zone", "");
+        if (!zone.isEmpty() && !zones.contains(zone)) {
+            part.fault("zone", "one of " + String.join(", ", zones));
+        }
+        if (trouble == Trouble.ZONE_CUT && zone.isEmpty()) {
+            part.fault("zone", "the zone that is cut off");
+        }
+        Scenario.Fault fault = new Scenario.Fault(trouble, part.time("at", null), part.time("for", "1s"),
+                part.number("part", 1.0, 0, 1), part.number("size", 1.0, 0, 1e6), part.number("extra", 0.0, 0, 1),
+                zone.isEmpty() ? null : zone);
+        part.end();
+        return fault;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/world/SimNode.java
@@ -0,0 +1,383 @@
+package trailthread.lab.world;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.Entry;
+import trailthread.BalancerApi.Events;
+import trailthread.BalancerApi.ListKind;
+import trailthread.BalancerApi.Load;
+import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.Settings;
+import trailthread.BalancerApi.State;
+import trailthread.lab.referee.CallTerms;
+import trailthread.lab.referee.Referee;
+
+/** A node in virtual time: hosts one instance of the decisions under test, which learns and acts by it alone. */
+final class SimNode implements Actions {
+    /** What one event may ask for, and what a node may have set as timers: past it the decisions run wild. */
+    private static final int MOST_ACTIONS = 100_000;
+    private static final int MOST_TIMERS = 2_000_000;
+
+    private record Idle(int life, long since) {
+    }
+
+    /** One event, told at this time. */
+    private interface Telling {
+        void tell(Events module, long now);
+    }
+
+    final int number;
+    final String name;
+    final String zone;
+    private final World world;
+    private final Map<Long, SimCall> calls = new LinkedHashMap<>();
+    private final Map<SimWorker, ArrayDeque<Idle>> idle = new LinkedHashMap<>();
+    private final ArrayDeque<Runnable> asked = new ArrayDeque<>();
+    private Events module;
+    private boolean busy;
+    private int life;
+    private boolean up = true;
+    private long pausedUntil;
+    private long diedAt;
+    private int timers;
+    private int atOnce;
+    private long lastAt;
+    boolean watches;
+
+    SimNode(World world, int number, String zone) {
+        this.world = world;
+        this.number = number;
+        this.name = "n" + number;
+        this.zone = zone;
+    }
+
+    /** Starts it, knowing this list of workers. */
+    void start(List<Entry> known) {
+        up = true;
+        life++;
+        Settings settings = world.settings(this);
+        module = world.policy().make(settings, world.streams().seedOf(name + " life " + life), world.now(), this,
+                world.truth());
+        list(ListKind.CACHED, known);
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    /** Something that reaches it: at once, or when it goes on. */
+    void input(Runnable task) {
+        int of = life;
+        if (pausedUntil > world.now()) {
+            world.agenda().at(pausedUntil, () -> {
+                if (life == of) {
+                    task.run();
+                }
+            });
+        } else if (up) {
+            task.run();
+        }
+    }
+
+    void pause(long until) {
+        pausedUntil = until;
+    }
+
+    boolean isPaused() {
+        return pausedUntil > world.now();
+    }
+
+    /** When it died last. */
+    long diedAt() {
+        return diedAt;
+    }
+
+    /** It dies, and all that it had with it. */
+    void kill() {
+        up = false;
+        diedAt = world.now();
+        watches = false;
+        life++;
+        List<SimCall> had = new ArrayList<>(calls.values());
+        calls.clear();
+        asked.clear();
+        timers = 0;
+        idle.forEach((worker, connections) -> connections.forEach(c -> {
+            if (c.life == worker.life) {
+                worker.connections--;
+            }
+        }));
+        idle.clear();
+        for (SimCall call : had) {
+            if (call.out != null) {
+                call.out.dies();
+            }
+            world.referee().forget(call.name);
+            if (!call.finished) {
+                call.ask.saw(Ask.Seen.NOTHING, 0);
+            }
+        }
+    }
+
+    // ---- events ------------------------------------------------------------------------------------
+
+    private void event(Telling telling) {
+        long now = world.now();
+        atOnce = now == lastAt ? atOnce + 1 : 0;
+        lastAt = now;
+        if (atOnce > MOST_ACTIONS) {
+            throw new ModuleFault(now, number, "more than " + MOST_ACTIONS + " events without time passing");
+        }
+        long begun = System.nanoTime();
+        telling.tell(module, now);
+        world.figures().decided(System.nanoTime() - begun);
+        if (asked.size() > MOST_ACTIONS) {
+            throw new ModuleFault(now, number, "one event asked for more than " + MOST_ACTIONS + " actions");
+        }
+        if (busy) {
+            return;
+        }
+        busy = true;
+        try {
+            for (Runnable action = asked.poll(); action != null; action = asked.poll()) {
+                action.run();
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    /** Takes a call whose client waits until this time. */
+    void take(Ask ask, long until) {
+        SimCall call = new SimCall(world.nextId(), world.nextSerial(), ask, world.now(), until);
+        calls.put(call.id, call);
+        var rules = ask.law.rules();
+        world.referee().taken(world.now(), call.name, new CallTerms(rules.name(), rules.semantics(), rules.group(),
+                rules.windowNs(), until));
+        long slack = world.scenario().rules().answerSlackNs();
+        world.agenda().at(until + slack + 1, () -> clientLeaves(call));
+        event((m, now) -> m.request(now, call.id, rules.name(), 0, until, ask.tenant, false, ask.key));
+    }
+
+    /** The client's time is over. */
+    private void clientLeaves(SimCall call) {
+        if (call.finished || !calls.containsKey(call.id)) {
+            return;
+        }
+        if (isPaused()) {
+            world.referee().gone(world.now(), call.name); // a process that is stopped owes nothing meanwhile
+        } else {
+            world.referee().overdue(world.now(), call.name);
+        }
+        call.finished = true;
+        call.ask.saw(Ask.Seen.NOTHING, 0);
+        input(() -> event((m, now) -> m.gone(now, call.id)));
+        forgetIfDone(call);
+    }
+
+    /** An attempt has ended; what that came to is told to the client first. */
+    void ended(SimAttempt attempt, Outcome outcome, long latencyNs, Load load) {
+        SimCall call = attempt.call;
+        call.out = null;
+        world.referee().ended(world.now(), call.name, attempt.number, outcome);
+        input(() -> {
+            if (outcome == Outcome.OK && !call.finished) {
+                answer(call, Ask.Seen.SERVED, 0, "served");
+            }
+            boolean closed = call.finished;
+            event((m, now) -> m.outcome(now, call.id, attempt.number, outcome, latencyNs, closed, load));
+            forgetIfDone(call);
+        });
+    }
+
+    private void answer(SimCall call, Ask.Seen seen, long retryAfterNs, String how) {
+        world.referee().answered(world.now(), call.name, how);
+        if (!call.finished) {
+            call.finished = true;
+            call.ask.saw(seen, retryAfterNs);
+        }
+        forgetIfDone(call);
+    }
+
+    private void forgetIfDone(SimCall call) {
+        if (call.finished && call.out == null) {
+            calls.remove(call.id);
+        }
+    }
+
+    /** News of the workers. */
+    void list(ListKind kind, List<Entry> entries) {
+        for (Entry entry : entries) {
+            world.referee().told(world.now(), name, entry.backend(), entry.state() == State.READY);
+        }
+        event((m, now) -> m.list(now, kind, entries));
+    }
+
+    // ---- connections -------------------------------------------------------------------------------
+
+    /** Takes the idle connection that was used last, if there is one that the worker has not closed yet. */
+    boolean takesIdle(SimWorker worker) {
+        ArrayDeque<Idle> connections = idle.get(worker);
+        if (connections == null) {
+            return false;
+        }
+        long oldest = world.now() - world.network().idleCloseNs();
+        for (Idle first = connections.peekFirst(); first != null
+                && (first.since <= oldest || first.life != worker.life); first = connections.peekFirst()) {
+            connections.pollFirst();
+            if (first.life == worker.life) {
+                worker.connections--;
+            }
+        }
+        return connections.pollLast() != null;
+    }
+
+    void keepsIdle(SimWorker worker, int of) {
+        if (worker.life == of) {
+            idle.computeIfAbsent(worker, w -> new ArrayDeque<>()).addLast(new Idle(of, world.now()));
+        }
+    }
+
+    // ---- actions -----------------------------------------------------------------------------------
+
+    private SimWorker worker(String backend) {
+        SimWorker worker = world.worker(backend);
+        if (worker == null) {
+            throw new ModuleFault(world.now(), number, "a worker that no list has named: " + backend);
+        }
+        return worker;
+    }
+
+    @Override
+    public void send(long id, long timeoutNs, String backend) {
+        asked.add(() -> {
+            SimWorker worker = worker(backend);
+            SimCall call = calls.get(id);
+            if (call == null) {
+                return; // it ended a moment ago
+            }
+            int attempt = call.attempts++;
+            long left = call.deadline - world.now();
+            if (call.finished || left <= 0 || call.out != null
+                    || attempt >= world.scenario().rules().maxAttempts()) {
+                event((m, now) -> m.outcome(now, id, attempt, Outcome.MOOT, 0, call.finished, null));
+                return;
+            }
+            call.out = new SimAttempt(world, this, call, attempt, worker);
+            world.figures().sends(worker.index);
+            world.referee().sent(world.now(), call.name, attempt, name,
+                    new Referee.Place(worker.name, worker.zone, worker.cell));
+            call.out.send(timeoutNs == 0 ? left : Math.min(timeoutNs, left));
+        });
+    }
+
+    @Override
+    public void refuse(long id, long retryAfterNs) {
+        asked.add(() -> {
+            SimCall call = calls.get(id);
+            if (call != null) {
+                world.figures().refuses();
+                answer(call, Ask.Seen.REFUSED, retryAfterNs, "refused");
+            }
+        });
+    }
+
+    @Override
+    public void fail(long id) {
+        asked.add(() -> {
+            SimCall call = calls.get(id);
+            if (call != null) {
+                answer(call, Ask.Seen.FAILED, 0, "failed");
+            }
+        });
+    }
+
+    @Override
+    public void cancel(long id, int attempt) {
+        asked.add(() -> {
+            SimCall call = calls.get(id);
+            if (call != null && call.out != null && call.out.number == attempt) {
+                call.out.giveUp(Outcome.CANCELLED);
+            }
+        });
+    }
+
+    @Override
+    public void timer(long delayNs, long token) {
+        int of = life;
+        if (++timers > MOST_TIMERS) {
+            throw new ModuleFault(world.now(), number, "more than " + MOST_TIMERS + " timers");
+        }
+        world.agenda().in(delayNs, () -> {
+            if (life == of) {
+                timers--;
+                input(() -> event((m, now) -> m.timer(now, token)));
+            }
+        });
+    }
+
+    @Override
+    public void probe(String backend) {
+        asked.add(() -> {
+            SimWorker worker = worker(backend);
+            world.figures().probes();
+            long begun = world.now();
+            boolean[] over = new boolean[1];
+            long within = world.probeWithinNs();
+            world.agenda().in(within, () -> probed(worker, Outcome.TIMEOUT, within, null, over));
+            world.travel(this, worker, () -> {
+                if (!worker.up) {
+                    world.travel(worker, this, () -> probed(worker, Outcome.RESET, world.now() - begun, null, over));
+                } else {
+                    worker.takesProbe(() -> {
+                        Load load = worker.probed();
+                        world.travel(worker, this,
+                                () -> probed(worker, Outcome.OK, world.now() - begun, load, over));
+                    });
+                }
+            });
+        });
+    }
+
+    private void probed(SimWorker worker, Outcome outcome, long latencyNs, Load load, boolean[] over) {
+        if (!over[0] && up) {
+            over[0] = true;
+            input(() -> event((m, now) -> m.probed(now, worker.name, outcome, latencyNs, load)));
+        }
+    }
+
+    @Override
+    public void closeIdle(String backend) {
+        asked.add(() -> {
+            SimWorker worker = worker(backend);
+            ArrayDeque<Idle> connections = idle.remove(worker);
+            if (connections != null) {
+                worker.connections -= (int) connections.stream().filter(c -> c.life == worker.life).count();
+            }
+        });
+    }
+
+    @Override
+    public void tell(int peer, byte[] data) {
+        throw new ModuleFault(world.now(), number, "a message to a peer: nodes share nothing here");
+    }
+
+    @Override
+    public void watch(boolean on) {
+        asked.add(() -> world.roster().watch(this, on));
+    }
+
+    @Override
+    public void fetch() {
+        asked.add(() -> world.roster().fetch(this));
+    }
+
+    @Override
+    public void log(String text) {
+        world.figures().logs();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/referee/RefereeTest.java
@@ -0,0 +1,197 @@
+package trailthread.lab.referee;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.util.Map;
+import org.junit.Test;
+import trailthread.BalancerApi.Group;
+import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.Semantics;
+import trailthread.lab.referee.Referee.Place;
+
+/** For each rule a violation that must be caught, and a near miss that must pass. */
+public class RefereeTest {
+    private static final Place A = new Place("a", "east", 0);
+    private static final Place SAME_CELL = new Place("b", "west", 0);
+    private static final Place OTHER = new Place("c", "east", 1);
+    private final Referee referee = new Referee(10, 100);
+
+    private void take(Semantics semantics, Group group) {
+        referee.taken(0, "7", new CallTerms("c", semantics, group, 500, 1000));
+    }
+
+    /** One attempt that runs and ends so. */
+    private void attempt(long at, int number, Place place, boolean runs, Outcome outcome) {
+        referee.sent(at, "7", number, "n0", place);
+        if (runs) {
+            referee.begun(at + 1, "7", number);
+        }
+        referee.ended(at + 2, "7", number, outcome);
+    }
+
+    private void broken(Rule... rules) {
+        Map<Rule, Integer> seen = referee.broken();
+        assertEquals(referee.violations().toString(), rules.length, seen.size());
+        for (Rule rule : rules) {
+            assertEquals(rule.name(), Integer.valueOf(1), seen.get(rule));
+        }
+    }
+
+    @Test
+    public void aSecondAnswer() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.sent(1, "7", 0, "n0", A); // still out, so that the call is not over
+        referee.answered(5, "7", "refused");
+        broken();
+        referee.answered(6, "7", "failed");
+        broken(Rule.ONE_ANSWER);
+        assertTrue(referee.violations().get(0).told(), referee.violations().get(0).told().contains("refused"));
+    }
+
+    @Test
+    public void anAnswerAfterTheEnd() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.answered(5, "7", "refused");
+        referee.answered(6, "7", "refused");
+        broken(Rule.ONE_ANSWER);
+    }
+
+    @Test
+    public void noAnswer() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.overdue(1011, "7");
+        broken(Rule.IN_TIME);
+    }
+
+    @Test
+    public void noAnswerByTheEndOfTheRun() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.finish(2000);
+        broken(Rule.IN_TIME);
+        assertEquals(0, referee.open());
+    }
+
+    @Test
+    public void anAnswerWithinTheSlackAndOneAfter() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.answered(1010, "7", "failed");
+        broken();
+        take(Semantics.SAFE, Group.ALL);
+        referee.answered(1011, "7", "failed");
+        broken(Rule.IN_TIME);
+    }
+
+    @Test
+    public void aClientThatLeftIsOwedNothing() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.gone(500, "7");
+        referee.overdue(1011, "7");
+        referee.finish(2000);
+        broken();
+    }
+
+    @Test
+    public void anUnsafeCallThatMayHaveRunTwice() {
+        take(Semantics.UNSAFE, Group.ALL);
+        attempt(1, 0, A, true, Outcome.RESET);
+        attempt(10, 1, OTHER, true, Outcome.OK);
+        broken(Rule.REPEATS);
+    }
+
+    @Test
+    public void anUnsafeCallThatWasTurnedAwayMayGoOn() {
+        take(Semantics.UNSAFE, Group.ALL);
+        attempt(1, 0, A, false, Outcome.FULL);
+        attempt(10, 1, OTHER, false, Outcome.CONNECT_FAILED);
+        attempt(20, 2, OTHER, true, Outcome.OK);
+        broken();
+    }
+
+    /** What a node believes of an end does not count: it calls a reset a failed connect. */
+    @Test
+    public void aNodeThatTakesWhatRanForWhatDidNot() {
+        take(Semantics.UNSAFE, Group.ALL);
+        attempt(1, 0, A, true, Outcome.CONNECT_FAILED);
+        attempt(10, 1, A, true, Outcome.OK);
+        broken(Rule.REPEATS);
+    }
+
+    @Test
+    public void aKeyedCallWithinItsCellAndOutside() {
+        take(Semantics.KEYED, Group.CELL);
+        attempt(1, 0, A, true, Outcome.RESET);
+        attempt(10, 1, SAME_CELL, true, Outcome.RESET);
+        broken();
+        attempt(20, 2, OTHER, true, Outcome.OK);
+        broken(Rule.REPEATS);
+    }
+
+    @Test
+    public void aKeyedCallWithinItsZoneAndOutside() {
+        take(Semantics.KEYED, Group.ZONE);
+        attempt(1, 0, A, true, Outcome.RESET);
+        attempt(10, 1, OTHER, true, Outcome.RESET);
+        broken();
+        attempt(20, 2, SAME_CELL, true, Outcome.OK);
+        broken(Rule.REPEATS);
+    }
+
+    @Test
+    public void aKeyedCallWithinItsWindowAndAfter() {
+        take(Semantics.KEYED, Group.ALL);
+        attempt(1, 0, A, true, Outcome.RESET);
+        attempt(490, 1, OTHER, true, Outcome.RESET);
+        broken();
+        attempt(501, 2, OTHER, true, Outcome.OK);
+        broken(Rule.REPEATS);
+    }
+
+    @Test
+    public void twoAttemptsAtOnce() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.sent(1, "7", 0, "n0", A);
+        referee.ended(5, "7", 0, Outcome.TIMEOUT);
+        referee.sent(5, "7", 1, "n0", OTHER);
+        broken();
+        referee.sent(6, "7", 2, "n0", SAME_CELL);
+        broken(Rule.ONE_ATTEMPT);
+    }
+
+    @Test
+    public void anAttemptForACallThatIsOver() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.answered(5, "7", "refused");
+        referee.sent(6, "7", 0, "n0", A);
+        broken(Rule.REPEATS);
+    }
+
+    @Test
+    public void somethingNewAfterTheGraceOfADrain() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.told(50, "n0", "a", false);
+        referee.told(140, "n0", "a", false); // told again: the first news counts
+        attempt(150, 0, A, true, Outcome.RESET);
+        broken();
+        referee.sent(151, "7", 1, "n1", A); // another node, which has not heard
+        referee.ended(152, "7", 1, Outcome.RESET);
+        broken();
+        attempt(153, 2, A, true, Outcome.RESET);
+        broken(Rule.DRAINS);
+    }
+
+    @Test
+    public void aWorkerThatIsBackWantsWork() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.told(50, "n0", "a", false);
+        referee.told(200, "n0", "a", true);
+        attempt(300, 0, A, true, Outcome.OK);
+        broken();
+    }
+
+    @Test
+    public void aColdWorkerPushedOver() {
+        referee.fell(9, "a");
+        broken(Rule.COLD_STARTS);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/worker/WorkerModelTest.java
@@ -0,0 +1,167 @@
+package trailthread.lab.worker;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.Test;
+import trailthread.lab.worker.WorkerModel.Job;
+
+/** Each law of a worker by itself. */
+public class WorkerModelTest {
+    private static final long MS = 1_000_000;
+    private final List<String> done = new ArrayList<>();
+    private WorkerModel model;
+
+    private final class Named extends Job {
+        private final String name;
+
+        Named(String name, double work) {
+            super(work);
+            this.name = name;
+        }
+    }
+
+    private void start(WorkerLaw law, boolean cold) {
+        model = new WorkerModel(law, 0, cold);
+    }
+
+    private boolean bring(long at, Job job) {
+        advance(at);
+        return model.arrive(at, job);
+    }
+
+    private void advance(long until) {
+        while (model.nextAt() <= until) {
+            long at = model.nextAt();
+            model.advance(at, job -> done.add(((Named) job).name + "@" + Math.round((double) at / MS)));
+        }
+        model.advance(until, job -> done.add("?"));
+    }
+
+    @Test
+    public void sharesCoresAndKeepsWaitingOnesInOrder() {
+        start(WorkerLaw.plain(1, 2, 2, 2), false);
+        assertTrue(bring(0, new Named("a", 10 * MS)));
+        assertTrue(bring(0, new Named("b", 20 * MS)));
+        assertTrue(bring(1 * MS, new Named("c", 10 * MS)));
+        assertTrue(bring(1 * MS, new Named("d", 10 * MS)));
+        assertFalse("no room", bring(1 * MS, new Named("e", 10 * MS)));
+        assertEquals(4, model.inflight());
+        assertEquals(2, model.queue());
+        advance(100 * MS);
+        assertEquals(List.of("a@10", "b@20", "c@20", "d@30"), done);
+    }
+
+    @Test
+    public void threeOnTwoCoresEachGetTwoThirds() {
+        start(WorkerLaw.plain(1, 2, 8, 0), false);
+        bring(0, new Named("a", 10 * MS));
+        bring(0, new Named("b", 10 * MS));
+        bring(0, new Named("c", 10 * MS));
+        advance(100 * MS);
+        assertEquals(List.of("a@15", "b@15", "c@15"), done);
+    }
+
+    @Test
+    public void aCrowdCostsEfficiency() {
+        start(new WorkerLaw(1, 1, 8, 0, 0.5, WorkerLaw.Jam.NEVER, WorkerLaw.Cold.NEVER, false), false);
+        bring(0, new Named("a", 10 * MS));
+        bring(0, new Named("b", 10 * MS));
+        advance(100 * MS);
+        assertEquals("two, each at half, at 1 / 1.5", List.of("a@30", "b@30"), done);
+    }
+
+    @Test
+    public void whatWaitsIsDroppedAndWhatWorksGoesOn() {
+        start(WorkerLaw.plain(1, 1, 1, 8), false);
+        Job a = new Named("a", 10 * MS);
+        Job b = new Named("b", 10 * MS);
+        bring(0, a);
+        bring(0, b);
+        bring(0, new Named("c", 10 * MS));
+        assertFalse(model.drop(0, a));
+        assertTrue(model.drop(0, b));
+        assertFalse("it is gone", model.drop(0, b));
+        advance(100 * MS);
+        assertEquals(List.of("a@10", "c@20"), done);
+    }
+
+    @Test
+    public void aJamKeepsItselfUpUntilItHasBeenNearlyIdle() {
+        WorkerLaw.Jam jam = new WorkerLaw.Jam(2, 100 * MS, 3, 1, 50 * MS);
+        start(new WorkerLaw(1, 1, 1, 100, 0, jam, WorkerLaw.Cold.NEVER, false), false);
+        for (int i = 0; i < 20; i++) {
+            bring(0, new Named("j" + i, 10 * MS));
+        }
+        advance(99 * MS);
+        assertFalse("not long enough", model.isJammed());
+        advance(101 * MS);
+        assertTrue(model.isJammed());
+        advance(390 * MS);
+        assertTrue("few wait, and it is still slow", model.isJammed());
+        advance(1000 * MS);
+        assertFalse(model.isJammed());
+        assertEquals("ten at 10 ms, ten at 30", "j19@400", done.get(19));
+        assertEquals(1, model.jams());
+    }
+
+    @Test
+    public void aShortCrowdDoesNotJam() {
+        WorkerLaw.Jam jam = new WorkerLaw.Jam(2, 100 * MS, 3, 1, 50 * MS);
+        start(new WorkerLaw(1, 1, 1, 100, 0, jam, WorkerLaw.Cold.NEVER, false), false);
+        for (int i = 0; i < 9; i++) {
+            bring(0, new Named("j" + i, 10 * MS));
+        }
+        advance(1000 * MS);
+        assertEquals(0, model.jams());
+        assertEquals("j8@90", done.get(8));
+    }
+
+    @Test
+    public void aColdStartRisesEvenly() {
+        WorkerLaw.Cold cold = new WorkerLaw.Cold(0.5, 64 * MS, 100, 1000 * MS);
+        start(new WorkerLaw(1, 1, 1, 10, 0, WorkerLaw.Jam.NEVER, cold, false), true);
+        assertEquals(0.5, model.warmth(0), 0);
+        assertEquals(0.75, model.warmth(32 * MS), 0.01);
+        assertEquals(1, model.warmth(64 * MS), 0);
+        bring(0, new Named("a", 20 * MS));
+        advance(100 * MS);
+        // The integral of 0.5 + t / 128 is 20 at t = 32.0 (with steps a little later).
+        assertEquals(List.of("a@32"), done);
+    }
+
+    @Test
+    public void aColdOneSentTooMuchFallsOverAndOneSentLessDoesNot() {
+        WorkerLaw.Cold cold = new WorkerLaw.Cold(0.25, 10_000 * MS, 2, 1000 * MS);
+        WorkerLaw law = new WorkerLaw(1, 1, 1, 1000, 0, WorkerLaw.Jam.NEVER, cold, false);
+        start(law, true);
+        for (int i = 0; i < 50; i++) { // twice a quarter of a second's work, to the last
+            assertTrue(bring(0, new Named("a", 10 * MS)));
+        }
+        assertFalse(model.hasFallen());
+        bring(0, new Named("a", 10 * MS));
+        assertTrue(model.hasFallen());
+        assertFalse("it does nothing any more", bring(1, new Named("a", MS)));
+        start(law, true);
+        for (int i = 0; i < 400; i++) {
+            bring(25L * i * MS, new Named("a", 10 * MS));
+        }
+        assertFalse("spread out", model.hasFallen());
+        start(law, false);
+        for (int i = 0; i < 500; i++) {
+            bring(0, new Named("a", 10 * MS));
+        }
+        assertFalse("warm", model.hasFallen());
+    }
+
+    @Test(expected = IllegalStateException.class)
+    public void oneRequestIsBroughtOnce() {
+        start(WorkerLaw.plain(1, 1, 1, 8), false);
+        Job a = new Named("a", MS);
+        bring(0, a);
+        bring(0, a);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/worker/WorkerTheoryTest.java
@@ -0,0 +1,83 @@
+package trailthread.lab.worker;
+
+import static org.junit.Assert.assertEquals;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.Test;
+import trailthread.lab.random.Streams;
+
+/** The model against queueing theory (Kleinrock, "Queueing Systems" I, 3.2 and 3.5; II, 4.4), within 2%. */
+public class WorkerTheoryTest {
+    private static final int CUSTOMERS = 1_000_000;
+    private static final double MEAN_NS = 1e6;
+
+    /** The mean time from arrival to end over the mean work, with Poisson arrivals at this share of the capacity. */
+    private static double meanTime(WorkerLaw law, double load, boolean exponential, long seed) {
+        UniformRandomProvider random = new Streams(seed).of("theory");
+        WorkerModel model = new WorkerModel(law, 0, false);
+        Map<WorkerModel.Job, Long> arrivedAt = new HashMap<>();
+        double[] sum = new double[2];
+        double gap = MEAN_NS / (load * law.cores() * law.speed());
+        long now = 0;
+        for (int i = 0; i < CUSTOMERS; i++) {
+            now += (long) Streams.exponential(random, gap);
+            long until = now;
+            while (model.nextAt() <= until) {
+                long at = model.nextAt();
+                model.advance(at, job -> {
+                    sum[0] += at - arrivedAt.remove(job);
+                    sum[1]++;
+                });
+            }
+            model.advance(now, job -> { });
+            WorkerModel.Job job = new WorkerModel.Job(exponential ? Math.max(1, Streams.exponential(random, MEAN_NS))
+                    : MEAN_NS);
+            model.arrive(now, job);
+            arrivedAt.put(job, now);
+        }
+        return sum[0] / sum[1] / MEAN_NS;
+    }
+
+    /** The chance of waiting at c servers under a load of so much each (Erlang C). */
+    private static double erlangC(int c, double load) {
+        double offered = load * c;
+        double term = 1;
+        double sum = 1;
+        for (int k = 1; k < c; k++) {
+            term *= offered / k;
+            sum += term;
+        }
+        double last = term * offered / c / (1 - load);
+        return last / (sum + last);
+    }
+
+    @Test
+    public void oneServerFirstComeFirstServed() {
+        for (double load : new double[] {0.3, 0.5, 0.7, 0.8}) {
+            double expected = 1 / (1 - load);
+            assertEquals("load " + load, expected,
+                    meanTime(WorkerLaw.plain(1, 1, 1, 1_000_000), load, true, 11), 0.02 * expected);
+        }
+    }
+
+    @Test
+    public void severalServers() {
+        for (int c : new int[] {2, 8}) {
+            double load = 0.75;
+            double expected = 1 + erlangC(c, load) / (c * (1 - load));
+            assertEquals("servers " + c, expected, meanTime(WorkerLaw.plain(1, c, c, 1_000_000), load, true, 12),
+                    0.02 * expected);
+        }
+    }
+
+    /** The mean does not depend on how work is spread: the same for one fixed size of it. */
+    @Test
+    public void processorSharing() {
+        double expected = 1 / (1 - 0.7);
+        WorkerLaw law = WorkerLaw.plain(1, 1, 1_000_000, 0);
+        assertEquals(expected, meanTime(law, 0.7, true, 13), 0.02 * expected);
+        assertEquals(expected, meanTime(law, 0.7, false, 14), 0.02 * expected);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/world/FleetTheoryTest.java
@@ -0,0 +1,83 @@
+package trailthread.lab.world;
+
+import static org.junit.Assert.assertTrue;
+
+import java.util.List;
+import org.junit.Test;
+import trailthread.lab.figures.Figures;
+import trailthread.lab.peers.Policies;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.ScenarioReader;
+
+/** What is known of whole fleets shows in the model. */
+public class FleetTheoryTest {
+    private static Scenario scenario(int workers, double perSecond, String fleet) throws Exception {
+        return ScenarioReader.parse("test", """
+                name = "test"
+                length = "60s"
+                [clients]
+                per_second = %s
+                [[classes]]
+                name = "c"
+                work = "10ms"
+                draw = "exponential"
+                aim = "1s"
+                deadline = "30s"
+                [network]
+                near = "100us"
+                jitter = 0.0
+                connections = 100000
+                [fleet]
+                workers = %d
+                slots = 1
+                %s
+                """.formatted(perSecond, workers, fleet));
+    }
+
+    /** Two choices against one: the longest line is far shorter (Mitzenmacher 2001). */
+    @Test
+    public void twoChoicesKeepTheLongestLineShort() throws Exception {
+        Scenario scenario = scenario(100, 9000, "");
+        int random = longest(World.play(scenario, Policies.named("random"), 1).figures());
+        int two = longest(World.play(scenario, Policies.named("two-choices"), 1).figures());
+        assertTrue(two + " of " + random, 3 * two < random);
+    }
+
+    private static int longest(Figures figures) {
+        int most = 0;
+        for (Figures.Second second : figures.seconds()) {
+            for (int held : second.held()) {
+                most = Math.max(most, held);
+            }
+        }
+        return most;
+    }
+
+    /** Without the correction, queues of two workers swing with the reports; with it they do not (the paper, 4.3). */
+    @Test
+    public void theCorrectionDampsTheSwingOfTwoWorkers() throws Exception {
+        Scenario scenario = scenario(2, 170, "report_every = \"2s\"");
+        double with = swing(World.play(scenario, Policies.named("sns"), 1).figures());
+        double without = swing(World.play(scenario, Policies.named("sns-uncorrected"), 1).figures());
+        assertTrue(without + " without, " + with + " with", 2 * with < without);
+    }
+
+    private static double swing(Figures figures) {
+        return figures.seconds().stream().map(Figures.Second::held).filter(held -> held.length == 2)
+                .mapToInt(held -> Math.abs(held[0] - held[1])).average().orElseThrow();
+    }
+
+    /** Who sees the true state is no worse than who draws blindly. */
+    @Test
+    public void theOracleIsBestOfAll() throws Exception {
+        Scenario scenario = scenario(10, 800, "speed = [0.6, 1.4]");
+        double oracle = mean(scenario, "oracle");
+        for (String other : List.of("random", "round-robin", "least-outstanding", "two-choices", "sns")) {
+            assertTrue(other, oracle < mean(scenario, other));
+        }
+    }
+
+    private static double mean(Scenario scenario, String policy) {
+        return World.play(scenario, Policies.named(policy), 4).figures().latencyUs().getMean();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/world/WorldTest.java
@@ -0,0 +1,252 @@
+package trailthread.lab.world;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotEquals;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.Test;
+import trailthread.Balancer;
+import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.Events;
+import trailthread.BalancerApi.Settings;
+import trailthread.lab.experiment.Result;
+import trailthread.lab.experiment.Runs;
+import trailthread.lab.peers.Policies;
+import trailthread.lab.peers.Policy;
+import trailthread.lab.peers.Truth;
+import trailthread.lab.referee.Rule;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.ScenarioReader;
+
+/** Days in virtual time: the same from the same seed, judged, and ended where the decisions run wild. */
+public class WorldTest {
+    private static final Path SCENARIOS = Path.of("scenarios");
+
+    /** A short form of a scenario of the repository. */
+    private static Scenario shortened(String name, double seconds) throws IOException, ScenarioReader.BadScenario {
+        Scenario s = ScenarioReader.read(SCENARIOS.resolve(name + ".toml"));
+        long length = Math.min(s.lengthNs(), (long) (seconds * 1e9));
+        return new Scenario(s.name(), s.about(), length, Math.min(s.warmUpNs(), length / 4), s.nodes(), s.zones(),
+                s.classes(), s.tenants(), s.clients(), s.network(), s.fleet(), s.list(), s.rules(), s.faults());
+    }
+
+    private static Result play(Scenario scenario, String policy, long seed) {
+        return Result.of(scenario, policy, seed, World.play(scenario, Policies.named(policy), seed)).withoutTimes();
+    }
+
+    @Test
+    public void oneSeedGivesOneResultToTheByteOnAnyNumberOfThreads() throws Exception {
+        List<Runs.Order> orders = new ArrayList<>();
+        for (String name : List.of("fast-errors", "rolling-restart", "node-killed")) {
+            for (Policy policy : Policies.all()) {
+                orders.add(new Runs.Order(shortened(name, 7), policy, 5));
+            }
+        }
+        List<String> once = Runs.make(orders, 1, r -> { }).stream().map(r -> r.withoutTimes().json()).toList();
+        List<String> again = Runs.make(orders, 7, r -> { }).stream().map(r -> r.withoutTimes().json()).toList();
+        assertEquals(once, again);
+        assertNotEquals(once.get(0), play(shortened("fast-errors", 7), "trailthread", 6).json());
+    }
+
+    /** Whoever decides: what clients ask for, when and how much work it is. */
+    @Test
+    public void policiesMeetTheSameClients() throws Exception {
+        Scenario scenario = shortened("calm", 8);
+        long[] asked = World.play(scenario, Policies.named("random"), 3).figures().classes().get("action").counts();
+        for (Policy policy : Policies.all()) {
+            long[] other = World.play(scenario, policy, 3).figures().classes().get("action").counts();
+            assertEquals(policy.name(), asked[0], other[0]);
+        }
+    }
+
+    /** A short form of every scenario: the project's module keeps all rules, and nothing hangs. */
+    @Test
+    public void theModuleKeepsTheRulesOnEveryScenario() throws Exception {
+        List<Runs.Order> orders = new ArrayList<>();
+        try (Stream<Path> files = Files.list(SCENARIOS)) {
+            for (Path file : files.sorted().toList()) {
+                String name = file.getFileName().toString().replace(".toml", "");
+                orders.add(new Runs.Order(shortened(name, name.equals("large") ? 0.5 : 14), Policies.TRAILTHREAD, 2));
+            }
+        }
+        assertTrue("twelve at least", orders.size() >= 12);
+        for (Result result : Runs.make(orders, 4, r -> { })) {
+            assertTrue(result.row(), result.broken().isEmpty());
+            assertTrue(result.row(), result.goodput() > 0.3);
+        }
+    }
+
+    // ---- decisions that run wild -------------------------------------------------------------------
+
+    /** The project's module, but for what the test puts between. */
+    private interface Spoiler {
+        Actions spoil(Actions actions, Events[] module);
+    }
+
+    private static Policy spoilt(Spoiler spoiler) {
+        return new Policy() {
+            @Override
+            public String name() {
+                return "spoilt";
+            }
+
+            @Override
+            public String about() {
+                return "for tests";
+            }
+
+            @Override
+            public Events make(Settings settings, long seed, long now, Actions actions, Truth truth) {
+                Events[] module = new Events[1];
+                module[0] = new Balancer(settings, seed, now, spoiler.spoil(actions, module));
+                return module[0];
+            }
+        };
+    }
+
+    private static class Passing implements Actions {
+        private final Actions to;
+
+        Passing(Actions to) {
+            this.to = to;
+        }
+
+        @Override
+        public void send(long id, long timeoutNs, String backend) {
+            to.send(id, timeoutNs, backend);
+        }
+
+        @Override
+        public void refuse(long id, long retryAfterNs) {
+            to.refuse(id, retryAfterNs);
+        }
+
+        @Override
+        public void fail(long id) {
+            to.fail(id);
+        }
+
+        @Override
+        public void cancel(long id, int attempt) {
+            to.cancel(id, attempt);
+        }
+
+        @Override
+        public void timer(long delayNs, long token) {
+            to.timer(delayNs, token);
+        }
+
+        @Override
+        public void probe(String backend) {
+            to.probe(backend);
+        }
+
+        @Override
+        public void closeIdle(String backend) {
+            to.closeIdle(backend);
+        }
+
+        @Override
+        public void tell(int peer, byte[] data) {
+            to.tell(peer, data);
+        }
+
+        @Override
+        public void watch(boolean on) {
+            to.watch(on);
+        }
+
+        @Override
+        public void fetch() {
+            to.fetch();
+        }
+
+        @Override
+        public void log(String text) {
+            to.log(text);
+        }
+    }
+
+    private static void runsWild(String with, Spoiler spoiler) throws Exception {
+        Scenario scenario = shortened("calm", 5);
+        ModuleFault fault = assertThrows(ModuleFault.class, () -> World.play(scenario, spoilt(spoiler), 1));
+        assertTrue(fault.getMessage(), fault.getMessage().contains(with));
+    }
+
+    @Test(timeout = 60_000)
+    public void aFloodOfTimersEndsTheRun() throws Exception {
+        runsWild("without time passing", (actions, module) -> new Passing(actions) {
+            @Override
+            public void timer(long delayNs, long token) {
+                super.timer(0, token);
+            }
+
+            @Override
+            public void send(long id, long timeoutNs, String backend) {
+                super.timer(0, 2); // each sets the next: it is the timer that the module sets again
+                super.send(id, timeoutNs, backend);
+            }
+        });
+    }
+
+    @Test
+    public void moreActionsThanAnyEventNeedsEndTheRun() throws Exception {
+        runsWild("one event asked for more than", (actions, module) -> new Passing(actions) {
+            @Override
+            public void send(long id, long timeoutNs, String backend) {
+                for (int i = 0; i < 200_000; i++) {
+                    super.send(id, timeoutNs, backend);
+                }
+            }
+        });
+    }
+
+    @Test
+    public void aWorkerThatNobodyNamedEndsTheRun() throws Exception {
+        runsWild("no list has named: w999", (actions, module) -> new Passing(actions) {
+            @Override
+            public void send(long id, long timeoutNs, String backend) {
+                super.send(id, timeoutNs, "w999");
+            }
+        });
+    }
+
+    @Test
+    public void aSecondAnswerIsSeen() throws Exception {
+        World.Day day = World.play(shortened("calm", 4), spoilt((actions, module) -> new Passing(actions) {
+            @Override
+            public void send(long id, long timeoutNs, String backend) {
+                super.send(id, timeoutNs, backend);
+                super.refuse(id, 0);
+                super.fail(id);
+            }
+        }), 1);
+        assertTrue(day.referee().broken().toString(), day.referee().broken().containsKey(Rule.ONE_ANSWER));
+        assertTrue(day.referee().violations().get(0).told(),
+                day.referee().violations().get(0).told().contains("answered: refused"));
+    }
+
+    @Test
+    public void callsThatAreForgottenAreSeen() throws Exception {
+        World.Day day = World.play(shortened("calm", 4), spoilt((actions, module) -> new Passing(actions) {
+            @Override
+            public void send(long id, long timeoutNs, String backend) {
+                // nothing
+            }
+
+            @Override
+            public void refuse(long id, long retryAfterNs) {
+                // nothing
+            }
+        }), 1);
+        assertTrue(day.referee().broken().toString(), day.referee().broken().containsKey(Rule.IN_TIME));
+        assertEquals("each is judged", 0, day.referee().open());
+    }
+}
