Drive clients, workers' processes and troubles by an agenda alone, virtual or real

Need: the emulator on sockets is to be driven by the same laws as virtual time, not by a copy of them.

Change: clients, workers' processes and troubles are packages of their own, which know an agenda and two small interfaces (`Front`, `Stricken`); the world in virtual time implements these. Resets, spoilt answers and dripping ones are new troubles.

Shown: the lab's tests, among them the same results to the byte on 1 and 7 threads.

--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/clients/Clients.java
@@ -0,0 +1,151 @@
+package trailthread.lab.clients;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import trailthread.BalancerApi.Tenant;
+import trailthread.lab.agenda.Agenda;
+import trailthread.lab.figures.Figures;
+import trailthread.lab.random.Streams;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.Scenario.ClassLaw;
+import trailthread.lab.scenario.Scenario.Draw;
+import trailthread.lab.scenario.Scenario.Surge;
+
+/**
+ * The clients of a day: an open loop of Poisson arrivals. Times come from an agenda, virtual or real; a request counts
+ * from when it was due, also where this machine brought it late.
+ */
+public final class Clients {
+    private static final int MOST_DOUBLINGS = 10;
+
+    private final Agenda agenda;
+    private final Scenario scenario;
+    private final Figures figures;
+    private final Front front;
+    private final UniformRandomProvider arrivals;
+    private final UniformRandomProvider asks;
+    private final UniformRandomProvider tails;
+    private final double[] classShares;
+    private final double[] tenantShares;
+    private final long begin;
+    private double tailShare;
+    private double tailTimes = 1;
+
+    /** Those of a day that begins now. */
+    public Clients(Agenda agenda, Streams streams, Scenario scenario, Figures figures, Front front) {
+        this.agenda = agenda;
+        this.scenario = scenario;
+        this.figures = figures;
+        this.front = front;
+        begin = agenda.now();
+        arrivals = streams.of("arrivals");
+        asks = streams.of("asks");
+        tails = streams.of("tails");
+        classShares = scenario.classes().stream().mapToDouble(ClassLaw::share).toArray();
+        tenantShares = scenario.tenants().stream().mapToDouble(Tenant::share).toArray();
+    }
+
+    /** From now on this share of the requests costs so many times the usual work. */
+    public void setTail(double share, double times) {
+        tailShare = share;
+        tailTimes = times;
+    }
+
+    long now() {
+        return agenda.now();
+    }
+
+    Figures figures() {
+        return figures;
+    }
+
+    Front front() {
+        return front;
+    }
+
+    /** After a try's wait, or as long as the answer advises where clients heed that. */
+    void later(int tries, double draw, long retryAfterNs, Runnable task) {
+        var law = scenario.clients();
+        long wait = (long) (law.backoffNs() * (1L << Math.min(tries - 1, MOST_DOUBLINGS)) * draw);
+        agenda.in(Math.max(wait, law.heeds() ? retryAfterNs : 0), task);
+    }
+
+    private double rate(long at) {
+        var law = scenario.clients();
+        double rate = law.perSecond();
+        long since = at - begin;
+        if (law.swingNs() > 0) {
+            rate *= 1 + law.swing() * StrictMath.sin(2 * StrictMath.PI * since / law.swingNs());
+        }
+        for (Surge surge : law.surges()) {
+            if (since >= surge.atNs() && since < surge.atNs() + surge.forNs()) {
+                rate *= surge.times();
+            }
+        }
+        return rate;
+    }
+
+    private double mostRate() {
+        double most = scenario.clients().perSecond() * (1 + scenario.clients().swing());
+        for (Surge surge : scenario.clients().surges()) {
+            most *= Math.max(1, surge.times());
+        }
+        return most;
+    }
+
+    /** Begins to ask, until this time; a rate that changes by thinning (Lewis and Shedler, 1979). */
+    public void begin(long end) {
+        arrive(mostRate(), end);
+    }
+
+    private void arrive(double most, long end) {
+        long at = agenda.now();
+        do {
+            at += (long) Streams.exponential(arrivals, 1e9 / most);
+        } while (at < end && arrivals.nextDouble() * most >= rate(at));
+        if (at < end) {
+            agenda.at(at, () -> {
+                ask().attempt();
+                arrive(most, end);
+            });
+        }
+    }
+
+    private Ask ask() {
+        var law = scenario.clients();
+        ClassLaw of = scenario.classes().get(drawn(classShares, asks.nextDouble()));
+        String tenant = tenantShares.length == 0 ? null
+                : scenario.tenants().get(drawn(tenantShares, asks.nextDouble())).name();
+        double draw = asks.nextDouble();
+        double work = of.draw() == Draw.FIXED ? of.lowNs()
+                : of.draw() == Draw.UNIFORM ? of.lowNs() + draw * (of.highNs() - of.lowNs())
+                : -of.lowNs() * StrictMath.log(1 - draw);
+        if (tails.nextDouble() < tailShare) {
+            work *= tailTimes;
+        }
+        long key = law.keys() > 0 ? 1 + asks.nextLong(law.keys()) : 0;
+        int zone = asks.nextInt(scenario.zones().size());
+        int tries = law.retries() + 1;
+        Ask.Draws draws = new Ask.Draws(new double[tries], new double[tries], new double[tries]);
+        for (int i = 0; i < tries; i++) {
+            draws.patience()[i] = Streams.uniform(asks, law.patienceLow(), law.patienceHigh());
+            draws.backoff()[i] = Streams.uniform(asks, 0.5, 1);
+            draws.front()[i] = asks.nextDouble();
+        }
+        return new Ask(this, of, tenant, Math.max(1, work), key, zone, draws);
+    }
+
+    private static int drawn(double[] shares, double draw) {
+        double sum = 0;
+        for (double share : shares) {
+            sum += share;
+        }
+        double left = draw * sum;
+        for (int i = 0; i < shares.length - 1; i++) {
+            left -= shares[i];
+            if (left < 0) {
+                return i;
+            }
+        }
+        return shares.length - 1;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/process/Incoming.java
@@ -0,0 +1,30 @@
+package trailthread.lab.process;
+
+/** A request at a worker's process, whoever brought it. */
+public interface Incoming {
+    /** What a worker says in the end. */
+    enum Answer {
+        /** Served. */
+        OK,
+        /** Failed, perhaps after it has run. */
+        ERROR,
+        /** Turned away unseen. */
+        FULL,
+        /** It has run, and the connection is reset in place of an answer. */
+        RESET,
+        /** It has run, and what comes can't be read. */
+        GARBAGE
+    }
+
+    /** In ns on a standard core. */
+    double work();
+
+    /** It has been taken: from now on it may run. */
+    void begins();
+
+    /** It ends so, now. An answer of {@code drips} above 0 takes so long to come, in ns. */
+    void answers(Answer answer, long drips);
+
+    /** The process has ended under it. */
+    void breaks();
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/process/WorkerProcess.java
@@ -0,0 +1,269 @@
+package trailthread.lab.process;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import trailthread.BalancerApi.Load;
+import trailthread.lab.agenda.Agenda;
+import trailthread.lab.process.Incoming.Answer;
+import trailthread.lab.random.Streams;
+import trailthread.lab.scenario.Scenario.FleetLaw;
+import trailthread.lab.worker.WorkerLaw;
+import trailthread.lab.worker.WorkerModel;
+
+/**
+ * A worker's process: its model, its reports, and what is wrong with it. Driven by an agenda, whose time may be virtual
+ * or real.
+ */
+public final class WorkerProcess {
+    /** How long a worker that fails at once takes for it. */
+    private static final long FAST_ERROR_NS = 1_000_000L;
+    /** The weight of one request in the time that requests take here, as probes tell it. */
+    private static final double TIME_WEIGHT = 0.1;
+
+    private record Report(long at, double inflight, double queue) {
+    }
+
+    /** What is wrong with it. */
+    public final Ills ills = new Ills();
+    private final Agenda agenda;
+    private final FleetLaw fleet;
+    private final WorkerLaw law;
+    private final Runnable fell;
+    private final UniformRandomProvider reportRandom;
+    private final UniformRandomProvider illRandom;
+    private final ArrayDeque<Report> reports = new ArrayDeque<>();
+    /** What is here, in the order in which it came. */
+    private final Map<Incoming, WorkerModel.Job> here = new LinkedHashMap<>();
+    private WorkerModel model;
+    private Agenda.Entry wake;
+    private long wakesAt = Long.MAX_VALUE;
+    private boolean up = true;
+    private int life;
+    private long startedAt;
+    private double slower = 1;
+    private double tookNs;
+    private long reportsLateNs;
+
+    /**
+     * One that runs.
+     *
+     * @param name of its streams of random numbers
+     * @param law  its own
+     * @param cold whether it has just started
+     * @param fell is run when it is pushed over while cold; the process is down then
+     */
+    public WorkerProcess(Agenda agenda, Streams streams, FleetLaw fleet, String name, WorkerLaw law, boolean cold,
+            Runnable fell) {
+        this.agenda = agenda;
+        this.fleet = fleet;
+        this.law = law;
+        this.fell = fell;
+        reportRandom = streams.of("reports of " + name);
+        illRandom = streams.of("ills of " + name);
+        model = new WorkerModel(law, agenda.now(), cold);
+        startedAt = cold ? agenda.now() : 0;
+        if (fleet.reports()) {
+            refresh();
+        }
+    }
+
+    private void refresh() {
+        advance();
+        double noise = 1 + fleet.noise() * (2 * reportRandom.nextDouble() - 1);
+        long now = agenda.now();
+        reports.add(new Report(now, model.inflight() * noise, model.queue() * noise));
+        while (reports.size() > 1 && reports.peek().at < now - reportsLateNs - fleet.everyHighNs() * 2) {
+            reports.poll();
+        }
+        agenda.in((long) Streams.uniform(reportRandom, fleet.everyLowNs(), fleet.everyHighNs()), this::refresh);
+    }
+
+    /** Reports arrive so much later than usual, in ns. */
+    public void reportsLate(long ns) {
+        reportsLateNs = ns;
+    }
+
+    /** What an answer that leaves now says; null: nothing. */
+    public Load report() {
+        Report newest = null;
+        for (Report report : reports) {
+            if (report.at <= agenda.now() - reportsLateNs) {
+                newest = report;
+            }
+        }
+        return newest == null ? null
+                : new Load(newest.inflight, newest.queue, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+    }
+
+    /** What a probe's answer says: the present, and the time that requests of late took here. */
+    public Load probed() {
+        return new Load(model.inflight(), model.queue(), Double.NaN, tookNs == 0 ? Double.NaN : tookNs / 1e6,
+                Double.NaN, Double.NaN);
+    }
+
+    /** Its work, by the law. */
+    public WorkerModel model() {
+        return model;
+    }
+
+    /** Whether its process runs. */
+    public boolean isUp() {
+        return up;
+    }
+
+    /** Which start of it this is: what belongs to an earlier one is dead. */
+    public int life() {
+        return life;
+    }
+
+    /** When it started last, in ns; 0: long ago. */
+    public long startedAt() {
+        return startedAt;
+    }
+
+    /** Requests that it holds. */
+    public int holds() {
+        return up ? model.inflight() : 0;
+    }
+
+    /** A request's last byte has come. */
+    public void arrived(Incoming incoming) {
+        if (draws(ills.failing)) {
+            incoming.begins();
+            agenda.in(FAST_ERROR_NS, () -> incoming.answers(Answer.ERROR, 0));
+            return;
+        }
+        advance();
+        Served job = new Served(incoming.work(), incoming, null, agenda.now());
+        boolean taken = model.arrive(agenda.now(), job);
+        if (taken) {
+            incoming.begins();
+            here.put(incoming, job);
+        } else if (!model.hasFallen()) {
+            incoming.answers(Answer.FULL, 0);
+        }
+        if (model.hasFallen()) {
+            goDown();
+            fell.run();
+        } else {
+            arrange();
+        }
+    }
+
+    /** Its node has closed the connection of a request that may be here. */
+    public void givenUp(Incoming incoming) {
+        WorkerModel.Job job = here.remove(incoming);
+        if (job != null) {
+            advance();
+            model.drop(agenda.now(), job);
+            arrange();
+        }
+    }
+
+    /** Work that belongs to nobody, as a connection's opening. */
+    public void works(double ns) {
+        if (ns > 0) {
+            advance();
+            model.arrive(agenda.now(), new Served(ns, null, () -> { }, 0));
+            arrange();
+        }
+    }
+
+    /** A probe has come; {@code done} is run when its answer leaves, and never if there is none. */
+    public void probes(Runnable done) {
+        advance();
+        model.arrive(agenda.now(), new Served(Math.max(1, fleet.probeWorkNs()), null, done, 0));
+        arrange();
+    }
+
+    /** It works so many times slower; 1: as usual. */
+    public void slow(double times) {
+        slower = times;
+        model.slow(agenda.now(), times, this::done);
+        arrange();
+    }
+
+    private boolean draws(double share) {
+        return share > 0 && illRandom.nextDouble() < share;
+    }
+
+    private void done(WorkerModel.Job job) {
+        Served served = (Served) job;
+        if (served.after != null) {
+            served.after.run();
+            return;
+        }
+        if (here.remove(served.incoming) == null) {
+            return; // it was given up, and the work went on
+        }
+        tookNs += (tookNs == 0 ? 1 : TIME_WEIGHT) * (agenda.now() - served.at - tookNs);
+        if (draws(ills.losing)) {
+            return;
+        }
+        Answer answer = draws(ills.resetting) ? Answer.RESET : draws(ills.spoiling) ? Answer.GARBAGE : Answer.OK;
+        served.incoming.answers(answer, ills.drips);
+    }
+
+    private void advance() {
+        if (up) {
+            model.advance(agenda.now(), this::done);
+        }
+    }
+
+    private void wakes() {
+        wake = null;
+        wakesAt = Long.MAX_VALUE;
+        advance();
+        arrange();
+    }
+
+    private void arrange() {
+        long next = up ? model.nextAt() : Long.MAX_VALUE;
+        if (next < wakesAt) {
+            if (wake != null) {
+                wake.cancel();
+            }
+            wakesAt = next;
+            wake = agenda.at(next, this::wakes);
+        }
+    }
+
+    /** Its process ends: what it holds breaks off. */
+    public void goDown() {
+        if (up) {
+            up = false;
+            life++;
+            List<Incoming> broken = List.copyOf(here.keySet());
+            here.clear();
+            model.clear();
+            broken.forEach(Incoming::breaks);
+        }
+    }
+
+    /** Its process has started again, cold. */
+    public void comeUp() {
+        up = true;
+        startedAt = agenda.now();
+        model = new WorkerModel(law, agenda.now(), true);
+        if (slower != 1) {
+            model.slow(agenda.now(), slower, job -> { });
+        }
+    }
+
+    /** A request of a node's, or work with something to do after it. */
+    private static final class Served extends WorkerModel.Job {
+        private final Incoming incoming;
+        private final Runnable after;
+        private final long at;
+
+        Served(double work, Incoming incoming, Runnable after, long at) {
+            super(work);
+            this.incoming = incoming;
+            this.after = after;
+            this.at = at;
+        }
+    }
+}
--- a/lab/src/main/java/trailthread/lab/scenario/Scenario.java
+++ b/lab/src/main/java/trailthread/lab/scenario/Scenario.java
@@ -108,6 +108,12 @@
         FAST_ERRORS,
         /** They do the work of {@code size} of their requests, and the answers are lost. */
         LOST_ANSWERS,
+        /** They do the work of {@code size} of their requests, and the connections are reset. */
+        RESETS,
+        /** They do the work of {@code size} of their requests, and what comes can't be read. */
+        GARBAGE,
+        /** Their answers take {@code size} seconds to come, byte by byte. */
+        DRIPS,
         /** They work {@code size} times slower. */
         SLOW,
         /** All reports arrive {@code size} seconds later than usual. */
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/troubles/Stricken.java
@@ -0,0 +1,58 @@
+package trailthread.lab.troubles;
+
+import java.util.List;
+import trailthread.lab.process.WorkerProcess;
+
+/** What things can go wrong with: a day in virtual time or on sockets. */
+public interface Stricken {
+    /** A worker of it. */
+    interface Worker {
+        /** Its zone. */
+        String zone();
+
+        /** Whether the roster names it as ready. */
+        boolean isReady();
+
+        /** Its process. */
+        WorkerProcess process();
+
+        /** The roster names it as one that wants nothing new. */
+        void drains();
+
+        /** Its process ends. */
+        void goesDown();
+
+        /** It starts again under its name, and the roster names it so. */
+        void comesBack();
+
+        /** The roster names it no more, and another one takes its place. */
+        void isReplaced();
+    }
+
+    /** A node of it. */
+    interface Node {
+        /** Ends it at once. */
+        void kill();
+
+        /** Starts it again. */
+        void start();
+
+        /** Stops it for so long, in ns. */
+        void pause(long forNs);
+    }
+
+    /** In an order of their own that does not change. */
+    List<? extends Worker> workers();
+
+    /** Also. */
+    List<? extends Node> nodes();
+
+    /** The roster answers nothing, or it is back. */
+    void rosterDown(boolean down);
+
+    /** All in a zone are cut off from all others; null: no more. */
+    void cutZone(String zone);
+
+    /** This share of the requests costs so many times the usual work. */
+    void tail(double share, double times);
+}
--- a/lab/src/main/java/trailthread/lab/worker/WorkerModel.java
+++ b/lab/src/main/java/trailthread/lab/worker/WorkerModel.java
@@ -16,7 +16,7 @@
     /** A cold worker's capacity rises in so many steps. */
     private static final int COLD_STEPS = 64;
 
-    /** One request; what belongs to it is kept by classes of those who bring it. */
+    /** One request; what else belongs to it is kept in subclasses by those who bring it. */
     public static class Job implements Comparable<Job> {
         private final double work;
         private long serial;
--- a/lab/src/main/java/trailthread/lab/world/SimAttempt.java
+++ b/lab/src/main/java/trailthread/lab/world/SimAttempt.java
@@ -3,20 +3,16 @@
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.lab.agenda.Agenda;
-import trailthread.lab.worker.WorkerModel;
+import trailthread.lab.process.Incoming;
 
 /** One attempt of a call, from its node to a worker and back, in virtual time. */
-final class SimAttempt implements Comparable<SimAttempt> {
-    /** What a worker says. */
-    enum Answer { OK, ERROR, FULL }
-
+final class SimAttempt implements Incoming {
     final SimCall call;
     final int number;
     final SimWorker worker;
     private final World world;
     private final SimNode node;
     private final long sentAt;
-    WorkerModel.Job job;
     private Agenda.Entry timeout;
     private boolean over;
     /** It has a connection, of this life of its worker. */
@@ -24,7 +20,7 @@
     private int life;
     private boolean written;
     /** It counts among those that are on their way. */
-    private boolean coming;
+    private boolean coming = true;
 
     SimAttempt(World world, SimNode node, SimCall call, int number, SimWorker worker) {
         this.world = world;
@@ -33,23 +29,22 @@
         this.number = number;
         this.worker = worker;
         this.sentAt = world.now();
-    }
-
-    double work() {
-        return call.ask.work;
+        this.life = worker.process().life();
+        worker.coming++;
     }
 
     /** Begins it; it is given up after this time, in ns. */
     void send(long withinNs) {
         timeout = world.agenda().in(withinNs, () -> node.input(() -> giveUp(Outcome.TIMEOUT)));
-        life = worker.life;
-        coming = true;
-        worker.coming++;
         if (node.takesIdle(worker)) {
             connected = true;
             write();
-            return;
+        } else {
+            connect();
         }
+    }
+
+    private void connect() {
         world.figures().opens();
         world.agenda().in(world.network().dialNs(), () -> node.input(() -> {
             if (!connected) {
@@ -57,17 +52,11 @@
             }
         }));
         world.travel(node, worker, () -> {
-            boolean opened = worker.up && worker.opens();
-            life = worker.life;
-            if (opened && over) {
-                worker.connections--;
-                return;
-            }
+            boolean opened = worker.opens();
+            life = worker.process().life();
             world.travel(worker, node, () -> {
-                if (over) {
-                    if (opened && worker.life == life) {
-                        worker.connections--;
-                    }
+                if (over && opened) {
+                    worker.closes(life);
                 } else if (opened) {
                     connected = true;
                     write();
@@ -85,10 +74,10 @@
                 return; // the connection was closed on it
             }
             comesNoMore();
-            if (!worker.up || worker.life != life) {
-                world.travel(worker, node, () -> end(Outcome.RESET, null));
+            if (worker.process().isUp() && worker.process().life() == life) {
+                worker.process().arrived(this);
             } else {
-                worker.arrived(this);
+                world.travel(worker, node, () -> end(Outcome.RESET, null));
             }
         });
     }
@@ -100,49 +89,58 @@
         }
     }
 
-    /** Its worker has it whole. */
-    void begins() {
+    @Override
+    public double work() {
+        return call.ask.work();
+    }
+
+    @Override
+    public void begins() {
         world.referee().begun(world.now(), call.name, number);
     }
 
-    /** Its worker says this, now. */
-    void answers(Answer answer) {
-        if (worker.life != life || over) {
+    @Override
+    public void answers(Answer answer, long drips) {
+        if (worker.process().life() != life || over) {
             return;
         }
-        Load load = worker.report();
-        world.travel(worker, node, () -> {
-            if (over) {
-                return;
+        if (answer == Answer.RESET || answer == Answer.GARBAGE) {
+            worker.closes(life);
+            breaks();
+            return;
+        }
+        Load load = worker.process().report();
+        world.agenda().in(drips, () -> world.travel(worker, node, () -> {
+            if (!over) {
+                node.keepsIdle(worker, life);
+                connected = false;
+                end(answer == Answer.OK ? Outcome.OK : answer == Answer.FULL ? Outcome.FULL : Outcome.ERROR, load);
             }
-            node.keepsIdle(worker, life);
-            connected = false;
-            end(answer == Answer.OK ? Outcome.OK : answer == Answer.FULL ? Outcome.FULL : Outcome.ERROR, load);
-        });
+        }));
     }
 
-    /** Its worker's process has ended under it. */
-    void breaks() {
+    @Override
+    public void breaks() {
         world.travel(worker, node, () -> end(Outcome.RESET, null));
     }
 
     /** Its node waits no longer. */
     void giveUp(Outcome outcome) {
-        if (over) {
-            return;
+        if (!over) {
+            boolean open = connected;
+            end(!written && outcome == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : outcome, null);
+            if (open) {
+                closes();
+            }
         }
-        boolean wasWritten = written;
-        boolean open = connected;
+    }
+
+    private void closes() {
         int of = life;
-        end(!wasWritten && outcome == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : outcome, null);
-        if (open) {
-            world.travel(node, worker, () -> {
-                if (worker.life == of) {
-                    worker.connections--;
-                    worker.givenUp(this);
-                }
-            });
-        }
+        world.travel(node, worker, () -> {
+            worker.closes(of);
+            worker.process().givenUp(this);
+        });
     }
 
     private void end(Outcome outcome, Load load) {
@@ -150,9 +148,6 @@
             over = true;
             comesNoMore();
             timeout.cancel();
-            if (outcome == Outcome.RESET) {
-                connected = false;
-            }
             node.ended(this, outcome, world.now() - sentAt, load);
         }
     }
@@ -163,19 +158,7 @@
         comesNoMore();
         timeout.cancel();
         if (connected) {
-            int of = life;
-            world.travel(node, worker, () -> {
-                if (worker.life == of) {
-                    worker.connections--;
-                    worker.givenUp(this);
-                }
-            });
+            closes();
         }
     }
-
-    @Override
-    public int compareTo(SimAttempt other) {
-        int byCall = Long.compare(call.serial, other.call.serial);
-        return byCall != 0 ? byCall : Integer.compare(number, other.number);
-    }
 }
--- a/lab/src/main/java/trailthread/lab/world/SimCall.java
+++ b/lab/src/main/java/trailthread/lab/world/SimCall.java
@@ -1,5 +1,7 @@
 package trailthread.lab.world;
 
+import trailthread.lab.clients.Ask;
+
 /** A call at a node. */
 final class SimCall {
     final long id;
--- a/lab/src/main/java/trailthread/lab/world/SimNode.java
+++ b/lab/src/main/java/trailthread/lab/world/SimNode.java
@@ -13,11 +13,13 @@
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.Settings;
 import trailthread.BalancerApi.State;
+import trailthread.lab.clients.Ask;
 import trailthread.lab.referee.CallTerms;
 import trailthread.lab.referee.Referee;
+import trailthread.lab.troubles.Stricken;
 
 /** A node in virtual time: hosts one instance of the decisions under test, which learns and acts by it alone. */
-final class SimNode implements Actions {
+final class SimNode implements Actions, Stricken.Node {
     /** What one event may ask for, and what a node may have set as timers: past it the decisions run wild. */
     private static final int MOST_ACTIONS = 100_000;
     private static final int MOST_TIMERS = 2_000_000;
@@ -55,14 +57,15 @@
         this.zone = zone;
     }
 
-    /** Starts it, knowing this list of workers. */
-    void start(List<Entry> known) {
+    /** Starts it; of the workers it knows what the roster knows. */
+    @Override
+    public void start() {
         up = true;
         life++;
         Settings settings = world.settings(this);
         module = world.policy().make(settings, world.streams().seedOf(name + " life " + life), world.now(), this,
                 world.truth());
-        list(ListKind.CACHED, known);
+        list(ListKind.CACHED, world.roster().whole());
     }
 
     boolean isUp() {
@@ -83,8 +86,9 @@
         }
     }
 
-    void pause(long until) {
-        pausedUntil = until;
+    @Override
+    public void pause(long forNs) {
+        pausedUntil = world.now() + forNs;
     }
 
     boolean isPaused() {
@@ -96,8 +100,8 @@
         return diedAt;
     }
 
-    /** It dies, and all that it had with it. */
-    void kill() {
+    @Override
+    public void kill() {
         up = false;
         diedAt = world.now();
         watches = false;
@@ -107,7 +111,7 @@
         asked.clear();
         timers = 0;
         idle.forEach((worker, connections) -> connections.forEach(c -> {
-            if (c.life == worker.life) {
+            if (c.life == worker.process().life()) {
                 worker.connections--;
             }
         }));
@@ -155,12 +159,12 @@
     void take(Ask ask, long until) {
         SimCall call = new SimCall(world.nextId(), world.nextSerial(), ask, world.now(), until);
         calls.put(call.id, call);
-        var rules = ask.law.rules();
+        var rules = ask.law().rules();
         world.referee().taken(world.now(), call.name, new CallTerms(rules.name(), rules.semantics(), rules.group(),
                 rules.windowNs(), until));
         long slack = world.scenario().rules().answerSlackNs();
         world.agenda().at(until + slack + 1, () -> clientLeaves(call));
-        event((m, now) -> m.request(now, call.id, rules.name(), 0, until, ask.tenant, false, ask.key));
+        event((m, now) -> m.request(now, call.id, rules.name(), 0, until, ask.tenant(), false, ask.key()));
     }
 
     /** The client's time is over. */
@@ -227,9 +231,9 @@
         }
         long oldest = world.now() - world.network().idleCloseNs();
         for (Idle first = connections.peekFirst(); first != null
-                && (first.since <= oldest || first.life != worker.life); first = connections.peekFirst()) {
+                && (first.since <= oldest || first.life != worker.process().life()); first = connections.peekFirst()) {
             connections.pollFirst();
-            if (first.life == worker.life) {
+            if (first.life == worker.process().life()) {
                 worker.connections--;
             }
         }
@@ -237,7 +241,7 @@
     }
 
     void keepsIdle(SimWorker worker, int of) {
-        if (worker.life == of) {
+        if (worker.process().life() == of) {
             idle.computeIfAbsent(worker, w -> new ArrayDeque<>()).addLast(new Idle(of, world.now()));
         }
     }
@@ -330,11 +334,11 @@
             long within = world.probeWithinNs();
             world.agenda().in(within, () -> probed(worker, Outcome.TIMEOUT, within, null, over));
             world.travel(this, worker, () -> {
-                if (!worker.up) {
+                if (!worker.process().isUp()) {
                     world.travel(worker, this, () -> probed(worker, Outcome.RESET, world.now() - begun, null, over));
                 } else {
-                    worker.takesProbe(() -> {
-                        Load load = worker.probed();
+                    worker.process().probes(() -> {
+                        Load load = worker.process().probed();
                         world.travel(worker, this,
                                 () -> probed(worker, Outcome.OK, world.now() - begun, load, over));
                     });
@@ -356,7 +360,7 @@
             SimWorker worker = worker(backend);
             ArrayDeque<Idle> connections = idle.remove(worker);
             if (connections != null) {
-                worker.connections -= (int) connections.stream().filter(c -> c.life == worker.life).count();
+                worker.connections -= (int) connections.stream().filter(c -> c.life == worker.process().life()).count();
             }
         });
     }
--- a/lab/src/main/java/trailthread/lab/world/World.java
+++ b/lab/src/main/java/trailthread/lab/world/World.java
@@ -8,29 +8,28 @@
 import trailthread.BalancerApi.Reports;
 import trailthread.BalancerApi.Settings;
 import trailthread.BalancerApi.State;
-import trailthread.BalancerApi.Tenant;
 import trailthread.lab.agenda.Agenda;
+import trailthread.lab.clients.Ask;
+import trailthread.lab.clients.Clients;
+import trailthread.lab.clients.Front;
 import trailthread.lab.figures.Figures;
 import trailthread.lab.peers.Policy;
 import trailthread.lab.peers.Truth;
 import trailthread.lab.random.Streams;
 import trailthread.lab.referee.Referee;
 import trailthread.lab.scenario.Scenario;
-import trailthread.lab.scenario.Scenario.ClassLaw;
-import trailthread.lab.scenario.Scenario.Draw;
 import trailthread.lab.scenario.Scenario.NetworkLaw;
-import trailthread.lab.scenario.Scenario.Surge;
+import trailthread.lab.troubles.Stricken;
+import trailthread.lab.troubles.Troubles;
 import trailthread.lab.worker.WorkerLaw;
 
 /**
  * A day in virtual time: clients, nodes with the decisions under test, the network, workers, the roster and what goes
  * wrong. One seed gives one history. Runs on the thread that calls it and shares nothing, so that many can run at once.
  */
-public final class World {
+public final class World implements Front, Stricken {
     /** Virtual clocks begin at an odd time, so that nothing rests on zero. */
     private static final long BEGIN = 1_000_000_000_000L;
-    /** How long a worker that fails at once takes for it. */
-    static final long FAST_ERROR_NS = 1_000_000L;
     /** How long the front of the nodes goes on sending to one that has died. */
     private static final long FRONT_LEARNS_NS = 500_000_000L;
     private static final long SECOND = 1_000_000_000L;
@@ -45,17 +44,11 @@
     private final List<SimWorker> workers = new ArrayList<>();
     private final Map<String, SimWorker> byName = new HashMap<>();
     private final SimRoster roster;
+    private final Clients clients;
     private final UniformRandomProvider network;
-    private final UniformRandomProvider arrivals;
-    private final UniformRandomProvider asks;
-    private final UniformRandomProvider tails;
     private final UniformRandomProvider speeds;
-    private final double[] classShares;
     private long lastId;
     private long serials;
-    private long reportsLateNs;
-    private double tailShare;
-    private double tailTimes = 1;
     private String cutZone;
 
     private World(Scenario scenario, Policy policy, long seed) {
@@ -65,12 +58,9 @@
         referee = new Referee(scenario.rules().answerSlackNs(), scenario.rules().drainGraceNs());
         figures = new Figures(BEGIN, BEGIN + scenario.warmUpNs());
         network = streams.of("network");
-        arrivals = streams.of("arrivals");
-        asks = streams.of("asks");
-        tails = streams.of("tails");
         speeds = streams.of("speeds");
         roster = new SimRoster(this);
-        classShares = scenario.classes().stream().mapToDouble(ClassLaw::share).toArray();
+        clients = new Clients(agenda, streams, scenario, figures, this);
     }
 
     /** What came of a day, and how it was judged. */
@@ -97,10 +87,10 @@
         for (int i = 0; i < scenario.nodes(); i++) {
             nodes.add(new SimNode(this, i, scenario.zones().get(i % scenario.zones().size())));
         }
-        nodes.forEach(node -> node.start(roster.whole()));
-        new Troubles(this).arrange(scenario.faults());
+        nodes.forEach(SimNode::start);
+        Troubles.arrange(agenda, streams, scenario.faults(), this);
         long end = BEGIN + scenario.lengthNs();
-        arrive(end);
+        clients.begin(end);
         sample(end);
         long longest = scenario.classes().stream().mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
         // After the last arrival it runs on until all is answered.
@@ -110,7 +100,8 @@
         referee.finish(agenda.now());
     }
 
-    private void addWorker(String zone, int place, boolean cold) {
+    /** A worker under a new name. */
+    void addWorker(String zone, int place, boolean cold) {
         var fleet = scenario.fleet();
         WorkerLaw law = fleet.law();
         double speed = Streams.uniform(speeds, fleet.speedLow(), fleet.speedHigh());
@@ -123,102 +114,35 @@
         roster.add(worker);
     }
 
-    /** A worker under a new name in the place of one that is gone; it begins cold. */
-    void replace(SimWorker gone) {
-        addWorker(gone.zone, Math.max(0, gone.cell), true);
-    }
-
-    // ---- clients -----------------------------------------------------------------------------------
-
-    private double rate(long now) {
-        var clients = scenario.clients();
-        double rate = clients.perSecond();
-        long since = now - BEGIN;
-        if (clients.swingNs() > 0) {
-            rate *= 1 + clients.swing() * StrictMath.sin(2 * StrictMath.PI * since / clients.swingNs());
-        }
-        for (Surge surge : clients.surges()) {
-            if (since >= surge.atNs() && since < surge.atNs() + surge.forNs()) {
-                rate *= surge.times();
-            }
-        }
-        return rate;
-    }
+    // ---- the front of the nodes ---------------------------------------------------------------------
 
-    private double mostRate() {
-        double most = scenario.clients().perSecond() * (1 + Math.max(0, scenario.clients().swing()));
-        for (Surge surge : scenario.clients().surges()) {
-            most *= Math.max(1, surge.times());
+    @Override
+    public void take(Ask ask, int zone, double draw, long until) {
+        SimNode node = chosen(scenario.zones().get(zone), draw);
+        if (node == null || !node.isUp()) {
+            ask.saw(Ask.Seen.UNREACHABLE, 0);
+        } else {
+            node.input(() -> node.take(ask, until));
         }
-        return most;
     }
 
-    /** Arrivals of a rate that changes, by thinning (Lewis and Shedler, 1979). */
-    private void arrive(long end) {
-        double most = mostRate();
-        long at = agenda.now();
-        do {
-            at += (long) Streams.exponential(arrivals, 1e9 / most);
-        } while (at < end && arrivals.nextDouble() * most >= rate(at));
-        if (at < end) {
-            agenda.at(at, () -> {
-                ask().attempt();
-                arrive(end);
-            });
-        }
-    }
-
-    private Ask ask() {
-        var clients = scenario.clients();
-        ClassLaw law = scenario.classes().get(drawn(classShares, asks.nextDouble()));
-        Tenant tenant = null;
-        if (!scenario.tenants().isEmpty()) {
-            double[] shares = scenario.tenants().stream().mapToDouble(Tenant::share).toArray();
-            tenant = scenario.tenants().get(drawn(shares, asks.nextDouble()));
-        }
-        double draw = asks.nextDouble();
-        double work = law.draw() == Draw.FIXED ? law.lowNs()
-                : law.draw() == Draw.UNIFORM ? law.lowNs() + draw * (law.highNs() - law.lowNs())
-                : -law.lowNs() * StrictMath.log(1 - draw);
-        if (tails.nextDouble() < tailShare) {
-            work *= tailTimes;
-        }
-        long key = clients.keys() > 0 ? 1 + asks.nextLong(clients.keys()) : 0;
-        int zone = asks.nextInt(scenario.zones().size());
-        int tries = clients.retries() + 1;
-        double[] patience = new double[tries];
-        double[] backoff = new double[tries];
-        double[] front = new double[tries];
-        for (int i = 0; i < tries; i++) {
-            patience[i] = Streams.uniform(asks, clients.patienceLow(), clients.patienceHigh());
-            backoff[i] = Streams.uniform(asks, 0.5, 1);
-            front[i] = asks.nextDouble();
-        }
-        return new Ask(this, law, tenant == null ? null : tenant.name(), Math.max(1, work), key, zone, patience,
-                backoff, front);
-    }
-
-    private static int drawn(double[] shares, double draw) {
-        double sum = 0;
-        for (double share : shares) {
-            sum += share;
+    /** One of the zone's, or, if its front knows of none there, of all; null: there is none. */
+    private SimNode chosen(String zone, double draw) {
+        int near = 0;
+        int all = 0;
+        for (SimNode node : nodes) {
+            if (frontKnows(node)) {
+                all++;
+                near += node.zone.equals(zone) ? 1 : 0;
+            }
         }
-        double left = draw * sum;
-        for (int i = 0; i < shares.length - 1; i++) {
-            left -= shares[i];
-            if (left < 0) {
-                return i;
+        int left = (int) (draw * (near > 0 ? near : all));
+        for (SimNode node : nodes) {
+            if (frontKnows(node) && (near == 0 || node.zone.equals(zone)) && left-- == 0) {
+                return node;
             }
         }
-        return shares.length - 1;
-    }
-
-    /** The node to which the front of a zone sends, or null: it knows of none. */
-    SimNode front(int zone, double draw) {
-        String name = scenario.zones().get(zone);
-        List<SimNode> near = nodes.stream().filter(n -> n.zone.equals(name) && frontKnows(n)).toList();
-        List<SimNode> some = near.isEmpty() ? nodes.stream().filter(this::frontKnows).toList() : near;
-        return some.isEmpty() ? null : some.get((int) (draw * some.size()));
+        return null;
     }
 
     private boolean frontKnows(SimNode node) {
@@ -227,10 +151,6 @@
 
     // ---- what the parts need -----------------------------------------------------------------------
 
-    long begin() {
-        return BEGIN;
-    }
-
     long now() {
         return agenda.now();
     }
@@ -268,11 +188,13 @@
         return roster;
     }
 
-    List<SimNode> nodes() {
+    @Override
+    public List<SimNode> nodes() {
         return nodes;
     }
 
-    List<SimWorker> workers() {
+    @Override
+    public List<SimWorker> workers() {
         return workers;
     }
 
@@ -288,27 +210,21 @@
         return ++serials;
     }
 
-    long reportsLateNs() {
-        return reportsLateNs;
-    }
-
-    void setReportsLate(long ns) {
-        reportsLateNs = ns;
+    @Override
+    public void tail(double share, double times) {
+        clients.setTail(share, times);
     }
 
-    void setTail(double share, double times) {
-        tailShare = share;
-        tailTimes = times;
+    @Override
+    public void rosterDown(boolean down) {
+        roster.down(down);
     }
 
-    void cutZone(String zone) {
+    @Override
+    public void cutZone(String zone) {
         cutZone = zone;
     }
 
-    void fell(SimWorker worker) {
-        referee.fell(now(), worker.name);
-    }
-
     /** What takes longer to tell its load than the tightest aim is fit for nothing just now. */
     long probeWithinNs() {
         return scenario.classes().stream().mapToLong(c -> c.rules().aimNs()).min().orElseThrow();
@@ -325,7 +241,7 @@
     /** One way over the network, if there is one. */
     private void travel(String from, String to, SimWorker worker, Runnable task) {
         boolean far = !from.equals(to);
-        if (worker.cut || far && cutZone != null && (from.equals(cutZone) || to.equals(cutZone))) {
+        if (worker.process().ills.cut || far && cutZone != null && (from.equals(cutZone) || to.equals(cutZone))) {
             return; // nothing is said
         }
         NetworkLaw law = scenario.network();
@@ -365,10 +281,8 @@
             @Override
             public double stretch(String name) {
                 SimWorker w = byName.get(name);
-                if (!w.up || w.cut || w.failing > 0 || w.losing > 0 || w.state != State.READY) {
-                    return Double.POSITIVE_INFINITY;
-                }
-                return w.model().stretch(now(), w.coming);
+                boolean well = w.process().isUp() && w.process().ills.none() && w.state == State.READY;
+                return well ? w.process().model().stretch(now(), w.coming) : Double.POSITIVE_INFINITY;
             }
         };
     }
@@ -378,7 +292,7 @@
             agenda.at(at, () -> {
                 int[] held = new int[workers.size()];
                 for (int i = 0; i < held.length; i++) {
-                    held[i] = workers.get(i).holds();
+                    held[i] = workers.get(i).process().holds();
                 }
                 figures.holds(now(), held);
             });
--- a/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
+++ b/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
@@ -50,8 +50,8 @@
                 "f:11:1: fleet.workers: expected a whole number from 1 to 100000, found 0");
         faulty(GOOD.replace("name = \"x\"\n", ""), "f:1:1: name: expected a text, found nothing");
         faulty(GOOD + "[[faults]]\ntrouble = \"gremlins\"\nat = \"1s\"\n",
-                "f:13:1: faults[0].trouble: expected one of fast_errors, lost_answers, slow, late_reports, heavy_tail, "
-                        + "cut, zone_cut, restart, replace, cold_fleet, roster_down, node_kill, node_pause, "
+                "f:13:1: faults[0].trouble: expected one of fast_errors, lost_answers, resets, garbage, drips, slow, "
+                        + "late_reports, heavy_tail, cut, zone_cut, restart, replace, cold_fleet, roster_down, node_kill, node_pause, "
                         + "found gremlins");
         faulty(GOOD + "[[faults]]\ntrouble = \"zone_cut\"\nat = \"1s\"\nzone = \"q\"\n",
                 "f:15:1: faults[0].zone: expected one of a, found q");
