Let probes be answered at once, as in Prequal's paper, and the oracle refuse what is past its aim

The paper's workers answer at once, with the time that requests took at about the present depth. The oracle sent all that came, and lost to everything that refuses.

--- a/lab/src/main/java/trailthread/lab/peers/LeastOutstanding.java
+++ b/lab/src/main/java/trailthread/lab/peers/LeastOutstanding.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
 /** The worker with the fewest of this node's own requests out; ties at random. */
@@ -11,7 +12,7 @@
     }
 
     @Override
-    Backend choose(List<Backend> among, long now) {
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
         return least(among, b -> b.outstanding);
     }
 }
--- a/lab/src/main/java/trailthread/lab/peers/Oracle.java
+++ b/lab/src/main/java/trailthread/lab/peers/Oracle.java
@@ -2,9 +2,13 @@
 
 import java.util.List;
 import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
-/** The worker at which one more request would be done soonest, by the true state of all, with what is on its way. */
+/**
+ * The worker at which one more request would be done soonest, by the true state of all, with what is on its way; none,
+ * where that would be past the aim. It holds nothing back and foresees no fault, so a policy may still pass it.
+ */
 final class Oracle extends PlainPolicy {
     private final Truth truth;
 
@@ -14,7 +18,8 @@
     }
 
     @Override
-    Backend choose(List<Backend> among, long now) {
-        return least(among, b -> truth.stretch(b.name));
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
+        Backend best = least(among, b -> truth.stretch(b.name));
+        return truth.stretch(best.name) * truth.meanWorkNs() > rules.aimNs() ? null : best;
     }
 }
--- a/lab/src/main/java/trailthread/lab/peers/PlainPolicy.java
+++ b/lab/src/main/java/trailthread/lab/peers/PlainPolicy.java
@@ -72,8 +72,8 @@
         settings.classes.forEach(c -> classes.put(c.name(), c));
     }
 
-    /** One of these, of which there is at least one. */
-    abstract Backend choose(List<Backend> among, long now);
+    /** One of these, of which there is at least one; null: none, and the request is given up. */
+    abstract Backend choose(List<Backend> among, RequestClass rules, long now);
 
     /** Those that want new work. */
     List<Backend> ready() {
@@ -121,7 +121,9 @@
 
     private void send(long now, long id, Request request) {
         List<Backend> among = among(request, now);
-        if (among.isEmpty() || request.sent.size() >= settings.maxAttempts || now >= request.deadline) {
+        boolean may = !among.isEmpty() && request.sent.size() < settings.maxAttempts && now < request.deadline;
+        Backend backend = may ? choose(among, request.rules, now) : null;
+        if (backend == null) {
             requests.remove(id);
             if (request.firstRan < 0 || request.rules.semantics() == Semantics.SAFE) {
                 actions.refuse(id, 0);
@@ -130,7 +132,6 @@
             }
             return;
         }
-        Backend backend = choose(among, now);
         request.sent.add(backend);
         request.sentAt.add(now);
         backend.outstanding++;
--- a/lab/src/main/java/trailthread/lab/peers/Policies.java
+++ b/lab/src/main/java/trailthread/lab/peers/Policies.java
@@ -24,7 +24,8 @@
     public static final Policy TRAILTHREAD = new Named("trailthread", "this project's decision module",
             (settings, seed, now, actions, truth) -> new Balancer(settings, seed, now, actions));
     /** Sees what no real node can. */
-    public static final Policy ORACLE = new Named("oracle", "the worker that is best by the true state of all",
+    public static final Policy ORACLE = new Named("oracle",
+            "the worker that is best by the true state of all; refuses what would miss its aim",
             (settings, seed, now, actions, truth) -> new Oracle(settings, seed, actions, truth));
 
     private static final List<Policy> ALL = List.of(TRAILTHREAD,
--- a/lab/src/main/java/trailthread/lab/peers/Prequal.java
+++ b/lab/src/main/java/trailthread/lab/peers/Prequal.java
@@ -5,6 +5,7 @@
 import trailthread.BalancerApi.Actions;
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
 /**
@@ -15,6 +16,7 @@
  */
 final class Prequal extends PlainPolicy {
     private static final int PROBES = 3;
+    /** And no more than half of the workers: the paper has far more of these. */
     private static final int POOL = 16;
     private static final long PROBE_LIVES_NS = 1_000_000_000L;
     private static final double HOT_QUANTILE = 0.8408964152537145; // 2^-0.25
@@ -50,17 +52,20 @@
     public void probed(long now, String backend, Outcome outcome, long latency, Load load) {
         Backend of = known(backend);
         if (outcome == Outcome.OK && load != null && of != null) {
-            double reuse = Math.max(1, (1 + DELTA) / Math.max(0.01,
-                    (1 - (double) POOL / Math.max(POOL + 1, ready().size())) * PROBES - REMOVED));
+            double reuse = Math.max(1, (1 + DELTA) / ((1 - (double) most() / ready().size()) * PROBES - REMOVED));
             pool.add(new Probe(of, now, load.inflight(), load.latencyMs() >= 0 ? load.latencyMs() : 0, reuse));
-            if (pool.size() > POOL) {
+            if (pool.size() > most()) {
                 pool.remove(0);
             }
         }
     }
 
+    private int most() {
+        return Math.max(LEAST_POOL, Math.min(POOL, ready().size() / 2));
+    }
+
     @Override
-    Backend choose(List<Backend> among, long now) {
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
         if (settings.mayProbe) {
             for (int i = 0; i < PROBES; i++) {
                 actions.probe(ready().get(random.nextInt(ready().size())).name);
@@ -87,8 +92,8 @@
 
     /** Hot-cold lexicographic. */
     private static boolean better(Probe a, Probe b, double hot) {
-        boolean aHot = a.inflight >= hot && hot > 0;
-        boolean bHot = b.inflight >= hot && hot > 0;
+        boolean aHot = a.inflight > hot;
+        boolean bHot = b.inflight > hot;
         return aHot != bHot ? bHot : aHot ? a.inflight < b.inflight : a.latencyMs < b.latencyMs;
     }
 
--- a/lab/src/main/java/trailthread/lab/peers/RandomChoice.java
+++ b/lab/src/main/java/trailthread/lab/peers/RandomChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
 /** Any worker, each with the same chance. */
@@ -11,7 +12,7 @@
     }
 
     @Override
-    Backend choose(List<Backend> among, long now) {
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
         return among.get(random.nextInt(among.size()));
     }
 }
--- a/lab/src/main/java/trailthread/lab/peers/RoundRobin.java
+++ b/lab/src/main/java/trailthread/lab/peers/RoundRobin.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
 /** Each worker in its turn, from a place of this node's own on. */
@@ -14,7 +15,7 @@
     }
 
     @Override
-    Backend choose(List<Backend> among, long now) {
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
         return among.get(Math.floorMod(next++, among.size()));
     }
 }
--- a/lab/src/main/java/trailthread/lab/peers/SnsLottery.java
+++ b/lab/src/main/java/trailthread/lab/peers/SnsLottery.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
 /**
@@ -22,7 +23,7 @@
     }
 
     @Override
-    Backend choose(List<Backend> among, long now) {
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
         double sum = 0;
         for (Backend b : among) {
             sum += tickets(b);
--- a/lab/src/main/java/trailthread/lab/peers/Truth.java
+++ b/lab/src/main/java/trailthread/lab/peers/Truth.java
@@ -2,6 +2,9 @@
 
 /** What no real node can see: the workers as they are now. Only {@link Oracle} looks. */
 public interface Truth {
+    /** What a request of mean size is, in ns of work on a standard core. */
+    double meanWorkNs();
+
     /**
      * How long one more request would take there, for each ns of its work, behind all that it holds
      * and that is on its way to it; infinite where it would not be served.
--- a/lab/src/main/java/trailthread/lab/peers/TwoChoices.java
+++ b/lab/src/main/java/trailthread/lab/peers/TwoChoices.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import trailthread.BalancerApi.Actions;
+import trailthread.BalancerApi.RequestClass;
 import trailthread.BalancerApi.Settings;
 
 /**
@@ -14,7 +15,7 @@
     }
 
     @Override
-    Backend choose(List<Backend> among, long now) {
+    Backend choose(List<Backend> among, RequestClass rules, long now) {
         int first = random.nextInt(among.size());
         if (among.size() == 1) {
             return among.get(first);
--- a/lab/src/main/java/trailthread/lab/process/WorkerProcess.java
+++ b/lab/src/main/java/trailthread/lab/process/WorkerProcess.java
@@ -21,7 +21,9 @@
     /** How long a worker that fails at once takes for it. */
     private static final long FAST_ERROR_NS = 1_000_000L;
     /** The weight of one request in the time that requests take here, as probes tell it. */
-    private static final double TIME_WEIGHT = 0.1;
+    private static final double TIME_WEIGHT = 0.2;
+    /** Times are kept by what was held when a request came, up to so many. */
+    private static final int MOST_DEPTHS = 256;
 
     private record Report(long at, double inflight, double queue) {
     }
@@ -44,7 +46,7 @@
     private int life;
     private long startedAt;
     private double slower = 1;
-    private double tookNs;
+    private final double[] tookNs = new double[MOST_DEPTHS];
     private long reportsLateNs;
 
     /**
@@ -98,10 +100,18 @@
                 : new Load(newest.inflight, newest.queue, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
     }
 
-    /** What a probe's answer says: the present, and the time that requests of late took here. */
+    /**
+     * What a probe's answer says: the present, and the time that requests of late took here that came when about as
+     * much was held as now (as in Prequal: Wydrowski et al., NSDI 2024, 4).
+     */
     public Load probed() {
-        return new Load(model.inflight(), model.queue(), Double.NaN, tookNs == 0 ? Double.NaN : tookNs / 1e6,
-                Double.NaN, Double.NaN);
+        int held = Math.min(MOST_DEPTHS - 1, model.inflight());
+        double took = Double.NaN;
+        for (int off = 0; off < MOST_DEPTHS && Double.isNaN(took); off++) {
+            took = held >= off && tookNs[held - off] > 0 ? tookNs[held - off]
+                    : held + off < MOST_DEPTHS && tookNs[held + off] > 0 ? tookNs[held + off] : took;
+        }
+        return new Load(model.inflight(), model.queue(), Double.NaN, took / 1e6, Double.NaN, Double.NaN);
     }
 
     /** Its work, by the law. */
@@ -138,6 +148,7 @@
         }
         advance();
         Served job = new Served(incoming.work(), incoming, null, agenda.now());
+        job.depth = Math.min(MOST_DEPTHS - 1, model.inflight());
         boolean taken = model.arrive(agenda.now(), job);
         if (taken) {
             incoming.begins();
@@ -175,8 +186,12 @@
     /** A probe has come; {@code done} is run when its answer leaves, and never if there is none. */
     public void probes(Runnable done) {
         advance();
-        model.arrive(agenda.now(), new Served(Math.max(1, fleet.probeWorkNs()), null, done, 0));
+        model.arrive(agenda.now(), new Served(Math.max(1, fleet.probeWorkNs()), null,
+                fleet.deepProbes() ? done : () -> { }, 0));
         arrange();
+        if (!fleet.deepProbes()) {
+            done.run();
+        }
     }
 
     /** It works so many times slower; 1: as usual. */
@@ -199,7 +214,8 @@
         if (here.remove(served.incoming) == null) {
             return; // it was given up, and the work went on
         }
-        tookNs += (tookNs == 0 ? 1 : TIME_WEIGHT) * (agenda.now() - served.at - tookNs);
+        double before = tookNs[served.depth];
+        tookNs[served.depth] += (before == 0 ? 1 : TIME_WEIGHT) * (agenda.now() - served.at - before);
         if (draws(ills.losing)) {
             return;
         }
@@ -258,6 +274,7 @@
         private final Incoming incoming;
         private final Runnable after;
         private final long at;
+        private int depth;
 
         Served(double work, Incoming incoming, Runnable after, long at) {
             super(work);
--- a/lab/src/main/java/trailthread/lab/scenario/Scenario.java
+++ b/lab/src/main/java/trailthread/lab/scenario/Scenario.java
@@ -84,9 +84,12 @@
      * @param everyHighNs and at most this
      * @param noise     a report's figures are off by up to this share
      * @param probeWorkNs a probe's work
+     * @param deepProbes whether a probe waits and is served like a request; else it is answered at once, beside the
+     *                   queue
      */
     public record FleetLaw(int workers, WorkerLaw law, double speedLow, double speedHigh, int cells, boolean reports,
-                           long everyLowNs, long everyHighNs, double noise, double probeWorkNs) {
+                           long everyLowNs, long everyHighNs, double noise, double probeWorkNs,
+                           boolean deepProbes) {
     }
 
     /** The roster: news take between these times to each node; a call for the list takes the lesser one. */
@@ -154,11 +157,15 @@
         faults = List.copyOf(faults);
     }
 
+    /** The mean work of a request, in ns on a standard core. */
+    public double meanWorkNs() {
+        double shares = classes.stream().mapToDouble(ClassLaw::share).sum();
+        return classes.stream().mapToDouble(c -> c.share() / shares * c.meanNs()).sum();
+    }
+
     /** Work that clients ask for on a usual second over what the warm fleet can do in one. */
     public double load() {
-        double shares = classes.stream().mapToDouble(ClassLaw::share).sum();
-        double work = classes.stream().mapToDouble(c -> c.share() / shares * c.meanNs()).sum();
         double speed = (fleet.speedLow() + fleet.speedHigh()) / 2;
-        return clients.perSecond() * work / (fleet.workers() * fleet.law().capacity() * speed);
+        return clients.perSecond() * meanWorkNs() / (fleet.workers() * fleet.law().capacity() * speed);
     }
 }
--- a/lab/src/main/java/trailthread/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/trailthread/lab/scenario/ScenarioReader.java
@@ -164,7 +164,8 @@
         long[] every = part.times("report_every", "500ms");
         FleetLaw fleet = new FleetLaw(part.whole("workers", null, 1, 100_000), law, speed[0], speed[1],
                 part.whole("cells", 0, 0, 100_000), part.flag("reports", true), every[0], every[1],
-                part.number("noise", 0.0, 0, 1), part.time("probe_work", "1ms"));
+                part.number("noise", 0.0, 0, 1), part.time("probe_work", "100us"),
+                part.flag("deep_probes", false));
         part.end();
         return fleet;
     }
--- a/lab/src/main/java/trailthread/lab/world/World.java
+++ b/lab/src/main/java/trailthread/lab/world/World.java
@@ -278,6 +278,13 @@
 
     Truth truth() {
         return new Truth() {
+            private final double meanWork = scenario.meanWorkNs();
+
+            @Override
+            public double meanWorkNs() {
+                return meanWork;
+            }
+
             @Override
             public double stretch(String name) {
                 SimWorker w = byName.get(name);
