--- a/lab/src/main/java/trailthread/lab/agenda/Agenda.java
+++ b/lab/src/main/java/trailthread/lab/agenda/Agenda.java
@@ -83,6 +83,11 @@
         return false;
     }
 
+    /** When the next thing is due, perhaps one that was taken back; Long.MAX_VALUE: nothing is. */
+    public long nextAt() {
+        return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().at;
+    }
+
     /** Does all that is set up to this time, which is then the present. */
     public void runUntil(long time) {
         while (!entries.isEmpty() && entries.peek().at <= time) {
--- a/lab/src/main/java/trailthread/lab/command/Lab.java
+++ b/lab/src/main/java/trailthread/lab/command/Lab.java
@@ -9,7 +9,7 @@
 /** The lab's command line. */
 @Command(name = "trailthread lab", description = "Fleets in virtual time and on loopback, load, experiments, reports.",
         mixinStandardHelpOptions = true, subcommands = {SimulateCommand.class, CompareCommand.class,
-            PoliciesCommand.class})
+            RunCommand.class, EmulateCommand.class, LoadCommand.class, PoliciesCommand.class})
 public final class Lab implements Callable<Integer> {
     /** Done. */
     static final int DONE = 0;
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/command/LoadCommand.java
@@ -0,0 +1,59 @@
+package trailthread.lab.command;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import trailthread.lab.experiment.Result;
+import trailthread.lab.real.RealDay;
+import trailthread.lab.referee.Violation;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.ScenarioReader;
+
+/** Load on nodes that run already. */
+@Command(name = "load",
+        description = "Sends a scenario's clients to nodes on loopback: an open loop, from intended times.",
+        mixinStandardHelpOptions = true)
+final class LoadCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "SCENARIO", description = "A scenario file: its clients and classes.")
+    private Path file;
+
+    @Option(names = "--to", paramLabel = "PORT", split = ",", required = true,
+            description = "Ports of the nodes on 127.0.0.1, the first one's in the first zone, and so on.")
+    private List<Integer> ports;
+
+    @Option(names = "--connections", paramLabel = "N", description = "Opened to each node ahead of need.")
+    private int connections;
+
+    @Option(names = "--seed", paramLabel = "N", description = "Of all that is drawn; 1 if not given.")
+    private long seed = 1;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter print = spec.commandLine().getOut();
+        Scenario scenario = ScenarioReader.read(file).withoutWorkers();
+        try (RealDay day = new RealDay(scenario, seed, 1)) {
+            day.sendTo(ports);
+            if (connections > 0) {
+                day.openAhead(connections);
+            }
+            long begun = System.nanoTime();
+            day.play(false, d -> RealRun.progress(d, print));
+            Result result = Result.of(scenario, "load", seed, day.figures(), day.referee(), 0,
+                    System.nanoTime() - begun);
+            print.println(Result.head());
+            print.println(result.row());
+            print.println("most connections at once " + day.mostConnections());
+            day.referee().violations().stream().limit(3).map(Violation::told).forEach(print::println);
+            return !RealRun.counts(day, print) ? Lab.LATE : result.broken().isEmpty() ? Lab.DONE : Lab.BROKEN;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/real/EmulatedRoster.java
@@ -0,0 +1,182 @@
+package trailthread.lab.real;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apache.commons.rng.UniformRandomProvider;
+import trailthread.BalancerApi.State;
+import trailthread.lab.agenda.Agenda;
+import trailthread.lab.random.Streams;
+
+/** Discovery on sockets, in the platform's protocol: a list, and watches on its changes; late, in order, or down. */
+final class EmulatedRoster {
+    private static final Pattern INDEX = Pattern.compile("[?&]index=([0-9]{1,18})\\b");
+    private static final long IDLE_NS = 2_000_000_000L;
+
+    private final RealDay day;
+    private final UniformRandomProvider random;
+    private final List<EmulatedWorker> listed = new ArrayList<>();
+    private final List<Listening> listeners = new ArrayList<>();
+    private final Set<Watch> watches = new HashSet<>();
+    private final Set<Watch> lines = new HashSet<>();
+    private long generation = 1;
+    private boolean down;
+
+    EmulatedRoster(RealDay day, int nodes) throws IOException {
+        this.day = day;
+        random = day.streams().of("roster");
+        for (int i = 0; i < Math.max(1, nodes); i++) {
+            int node = i;
+            listeners.add(new Listening(day.loop(), 0, channel -> accept(node, channel)));
+        }
+    }
+
+    /** Where a node, by its number, finds it. */
+    String hostPort(int node) {
+        return listeners.get(Math.min(node, listeners.size() - 1)).hostPort();
+    }
+
+    private void accept(int node, SocketChannel channel) {
+        try {
+            if (down) {
+                channel.close();
+                return;
+            }
+            Watch line = new Watch(node);
+            line.wire = Wire.accepted(day.loop(), channel, line);
+            lines.add(line);
+        } catch (IOException e) {
+            // the client has gone already
+        }
+    }
+
+    void add(EmulatedWorker worker) {
+        listed.add(worker);
+        changed(worker, worker.state);
+    }
+
+    /** A worker's state is this now. */
+    void changed(EmulatedWorker worker, State state) {
+        worker.state = state;
+        generation++;
+        if (state == State.GONE) {
+            listed.remove(worker);
+        }
+        long of = generation;
+        for (Watch watch : List.copyOf(watches)) {
+            var law = day.scenario().list();
+            long at = day.now() + (long) Streams.uniform(random, law.lowNs(), law.highNs());
+            watch.toldAt = Math.max(at, watch.toldAt);
+            String line = object(of, false, entry(worker, watch.node, state));
+            day.agenda().at(watch.toldAt, () -> {
+                if (watches.contains(watch)) {
+                    watch.line(line);
+                    day.judged(r -> r.told(day.now(), "n" + watch.node, worker.name, state == State.READY));
+                }
+            });
+        }
+    }
+
+    /** The whole list, as a node hears it. */
+    String whole(int node) {
+        List<String> entries = new ArrayList<>();
+        listed.forEach(worker -> entries.add(entry(worker, node, worker.state)));
+        return object(generation, true, String.join(",", entries));
+    }
+
+    private static String object(long generation, boolean reset, String entries) {
+        return "{\"generation\":" + generation + ",\"reset\":" + reset + ",\"instances\":[" + entries + "]}";
+    }
+
+    private String entry(EmulatedWorker worker, int node, State state) {
+        String lifecycle = state == State.READY ? "active" : state == State.DRAINING ? "leaving" : "left";
+        return String.format(Locale.ROOT, "{\"instanceId\":\"%s\",\"hostPort\":\"%s\",\"zone\":\"%s\",\"cell\":%d,"
+                + "\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":%d}", worker.name, worker.hostPort(node),
+                worker.zone, worker.cell, lifecycle, day.unixMs(worker.process().startedAt()));
+    }
+
+    /** It answers nothing, and watches end; or it is back. */
+    void down(boolean on) {
+        down = on;
+        if (on) {
+            for (Watch line : List.copyOf(lines)) {
+                line.wire.reset();
+                line.closed("down");
+            }
+        }
+    }
+
+    /** A connection of a node's. */
+    private final class Watch implements Wire.Listener {
+        private final int node;
+        private Wire wire;
+        private long toldAt;
+        private Agenda.Entry idle;
+
+        Watch(int node) {
+            this.node = node;
+        }
+
+        @Override
+        public void message(HttpMessage message) {
+            if (!message.target().startsWith("/v1/endpoints")) {
+                wire.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            long at = day.now() + day.scenario().list().lowNs();
+            toldAt = Math.max(at, toldAt);
+            if (message.target().contains("stream=1")) {
+                Matcher index = INDEX.matcher(message.target());
+                long has = index.find() ? Long.parseLong(index.group(1)) : -1;
+                wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                watches.add(this);
+                day.agenda().at(toldAt, () -> {
+                    if (watches.contains(this) && has != generation) {
+                        line(whole(node));
+                        tellReferee();
+                    }
+                });
+                idles();
+            } else {
+                day.agenda().at(toldAt, () -> {
+                    String list = whole(node);
+                    wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                    tellReferee();
+                });
+            }
+        }
+
+        private void tellReferee() {
+            listed.forEach(w -> day.judged(r -> r.told(day.now(), "n" + node, w.name, w.state == State.READY)));
+        }
+
+        /** Sends a line, and an empty one whenever none was sent for a while. */
+        void line(String text) {
+            wire.send(Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n");
+            idles();
+        }
+
+        private void idles() {
+            if (idle != null) {
+                idle.cancel();
+            }
+            idle = day.agenda().in(IDLE_NS, () -> {
+                if (watches.contains(this)) {
+                    line("");
+                }
+            });
+        }
+
+        @Override
+        public void closed(String how) {
+            watches.remove(this);
+            lines.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/real/EmulatedWorker.java
@@ -0,0 +1,270 @@
+package trailthread.lab.real;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import trailthread.BalancerApi.Load;
+import trailthread.BalancerApi.Outcome;
+import trailthread.BalancerApi.State;
+import trailthread.lab.process.Incoming;
+import trailthread.lab.process.WorkerProcess;
+import trailthread.lab.referee.Referee;
+import trailthread.lab.troubles.Stricken;
+import trailthread.lab.worker.WorkerLaw;
+
+/**
+ * A worker on sockets: the model of virtual time, driven by the real clock, behind the workers' side of the platform's
+ * protocol. Each node has an address of its own for it, so that the referee knows who sends.
+ */
+final class EmulatedWorker implements Stricken.Worker {
+    private static final Pattern WORK = Pattern.compile("[?&]work=([0-9]{1,15})\\b");
+    private static final String GARBAGE = "HTTP/9 \u0001\u0002 wor\u00ffk\r\n\u0000\u0003: ;;\r\n\r\n\u00fe";
+    private static final int DRIPS = 10;
+
+    final String name;
+    final String zone;
+    final int cell;
+    private final RealDay day;
+    private final WorkerProcess process;
+    private final List<Listening> listeners = new ArrayList<>();
+    private final Set<Line> lines = new HashSet<>();
+    State state = State.READY;
+    private boolean wasCut;
+
+    EmulatedWorker(RealDay day, String name, String zone, int cell, WorkerLaw law, boolean cold) throws IOException {
+        this.day = day;
+        this.name = name;
+        this.zone = zone;
+        this.cell = cell;
+        process = new WorkerProcess(day.agenda(), day.streams(), day.scenario().fleet(), name, law, cold, () -> {
+            day.judged(r -> r.fell(day.now(), name));
+            goesDown();
+        });
+        for (int i = 0; i < Math.max(1, day.nodeCount()); i++) {
+            String node = "n" + i;
+            listeners.add(new Listening(day.loop(), 0, channel -> accept(node, channel)));
+        }
+    }
+
+    /** Where a node, by its number, finds it. */
+    String hostPort(int node) {
+        return listeners.get(Math.min(node, listeners.size() - 1)).hostPort();
+    }
+
+    private void accept(String node, SocketChannel channel) {
+        try {
+            if (lines.size() >= day.scenario().network().connections()) {
+                channel.close();
+                return;
+            }
+            process.works(day.scenario().network().openWorkNs());
+            Line line = new Line(node);
+            line.wire = Wire.accepted(day.loop(), channel, line);
+            line.wire.mute(process.ills.cut);
+            lines.add(line);
+        } catch (IOException e) {
+            // the client has gone already
+        }
+    }
+
+    /** Cuts it off or joins it again, as its ills say. */
+    void arrangeCut() {
+        if (process.ills.cut != wasCut) {
+            wasCut = process.ills.cut;
+            List.copyOf(lines).forEach(line -> line.wire.mute(wasCut));
+        }
+    }
+
+    /** Looks whether the connection of an attempt has ended by now. */
+    void look(String call) {
+        List.copyOf(lines).stream().filter(line -> line.served != null && line.served.call.equals(call))
+                .forEach(line -> line.wire.read());
+    }
+
+    @Override
+    public String zone() {
+        return zone;
+    }
+
+    @Override
+    public boolean isReady() {
+        return state == State.READY;
+    }
+
+    @Override
+    public WorkerProcess process() {
+        return process;
+    }
+
+    @Override
+    public void drains() {
+        day.roster().changed(this, State.DRAINING);
+    }
+
+    @Override
+    public void goesDown() {
+        for (Listening listener : listeners) {
+            try {
+                listener.close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        process.goDown();
+        for (Line line : List.copyOf(lines)) {
+            line.wire.reset();
+            line.ends();
+        }
+    }
+
+    @Override
+    public void comesBack() {
+        try {
+            for (Listening listener : listeners) {
+                listener.again();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(name + " can't listen again", e);
+        }
+        process.comeUp();
+        day.roster().changed(this, State.READY);
+    }
+
+    @Override
+    public void isReplaced() {
+        day.roster().changed(this, State.GONE);
+        day.addWorker(zone, Math.max(0, cell), true);
+    }
+
+    private static String load(Load load) {
+        return String.format(Locale.ROOT, "{\"inflight\":%.2f,\"queue\":%.2f}", load.inflight(), load.queue());
+    }
+
+    private String answer(String status, Load load, String extra, String body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n" + extra
+                + (load == null ? "" : "X-Backend-Load: " + load(load) + "\r\n") + "\r\n" + body;
+    }
+
+    /** A connection from a node. */
+    private final class Line implements Wire.Listener {
+        private final String node;
+        private Wire wire;
+        private Served served;
+
+        Line(String node) {
+            this.node = node;
+        }
+
+        @Override
+        public void message(HttpMessage message) {
+            if (served != null) {
+                wire.reset(); // two requests at once on one connection
+                ends();
+                return;
+            }
+            if (message.target().equals("/health") || message.target().equals("/status/load")) {
+                day.figures().probes();
+                process.probes(() -> wire.send(answer("200 OK", null, "", load(process.probed()))));
+                return;
+            }
+            String id = message.header("x-correlation-id");
+            Matcher work = WORK.matcher(message.target());
+            if (id == null || !work.find()) {
+                wire.send(answer("404 Not Found", null, "", ""));
+                return;
+            }
+            int attempt = day.nextAttempt(id, EmulatedWorker.this);
+            served = new Served(this, id, attempt, Math.max(1, Double.parseDouble(work.group(1))));
+            day.judged(r -> r.sent(wire.beganAt(), id, attempt, node, new Referee.Place(name, zone, cell)));
+            day.figures().sends(day.workers().indexOf(EmulatedWorker.this));
+            process.arrived(served);
+        }
+
+        @Override
+        public void closed(String how) {
+            ends();
+        }
+
+        /** Nothing more goes over it. */
+        void ends() {
+            lines.remove(this);
+            if (served != null) {
+                Served was = served;
+                served = null;
+                process.givenUp(was);
+                day.judged(r -> r.ended(day.now(), was.call, was.attempt, Outcome.CANCELLED));
+            }
+        }
+
+        private void answered(Served of, Outcome outcome, String text, long drips) {
+            served = null;
+            day.judged(r -> r.ended(day.now(), of.call, of.attempt, outcome));
+            if (drips == 0) {
+                wire.send(text);
+                return;
+            }
+            int piece = Math.max(1, text.length() / DRIPS);
+            for (int from = 0, i = 0; from < text.length(); from += piece, i++) {
+                String part = text.substring(from, Math.min(text.length(), from + piece));
+                day.agenda().in(drips * i / DRIPS, () -> wire.send(part));
+            }
+        }
+    }
+
+    /** A request that is here. */
+    private final class Served implements Incoming {
+        private final Line line;
+        private final String call;
+        private final int attempt;
+        private final double work;
+
+        Served(Line line, String call, int attempt, double work) {
+            this.line = line;
+            this.call = call;
+            this.attempt = attempt;
+            this.work = work;
+        }
+
+        @Override
+        public double work() {
+            return work;
+        }
+
+        @Override
+        public void begins() {
+            day.judged(r -> r.begun(day.now(), call, attempt));
+        }
+
+        @Override
+        public void answers(Answer answer, long drips) {
+            if (line.served != this) {
+                return;
+            }
+            Load load = process.report();
+            switch (answer) {
+                case OK -> line.answered(this, Outcome.OK,
+                        answer("200 OK", load, "", call + " " + name + " " + (long) work + "\n"), drips);
+                case ERROR -> line.answered(this, Outcome.ERROR, answer("500 Failed", load, "", ""), drips);
+                case FULL -> line.answered(this, Outcome.FULL,
+                        answer("503 Full", load, "X-Unprocessed: 1\r\n", ""), drips);
+                case GARBAGE -> line.answered(this, Outcome.RESET, GARBAGE, 0);
+                case RESET -> {
+                    line.wire.reset();
+                    line.ends();
+                }
+                default -> throw new IllegalStateException(answer.name());
+            }
+        }
+
+        @Override
+        public void breaks() {
+            // its connection is reset with all others
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/real/HttpFront.java
@@ -0,0 +1,291 @@
+package trailthread.lab.real;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import trailthread.BalancerApi.Semantics;
+import trailthread.lab.agenda.Agenda;
+import trailthread.lab.clients.Ask;
+import trailthread.lab.clients.Front;
+import trailthread.lab.referee.CallTerms;
+import trailthread.lab.referee.Referee;
+
+/**
+ * Clients on sockets, in the platform's protocol: connections are kept, carry one request at a time, and further ones are
+ * opened when all are busy. The nodes of a zone share its clients.
+ */
+final class HttpFront implements Front {
+    /** A node that clients send to. */
+    static final class Target {
+        final String zone;
+        final InetSocketAddress address;
+        /** Whether new connections go there. */
+        boolean admitted = true;
+        /** Its process was killed or stopped from outside: what it had is owed nothing. */
+        boolean excused;
+        private final ArrayDeque<Client> idle = new ArrayDeque<>();
+        private final Set<Client> all = new HashSet<>();
+
+        Target(String zone, int port) {
+            this.zone = zone;
+            this.address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        }
+
+        /** All its connections are closed by the system. */
+        void died() {
+            excused = true;
+            admitted = false;
+        }
+    }
+
+    /** What the clients' answers may be late by, so that the last bytes of one in time are still read. */
+    private static final long GRACE_NS = 50_000_000L;
+
+    private final RealLoop loop;
+    private final Agenda agenda;
+    private final Referee referee;
+    private final long slackNs;
+    private final List<String> zones;
+    private final List<Target> targets = new ArrayList<>();
+    private final LongSupplier ids;
+    private int open;
+    private int mostOpen;
+
+    /**
+     * @param slackNs how far past its deadline an answer still counts
+     * @param zones   of clients, by number
+     * @param ids     new at each call
+     */
+    HttpFront(RealLoop loop, Referee referee, long slackNs, List<String> zones, LongSupplier ids) {
+        this.loop = loop;
+        this.agenda = loop.agenda();
+        this.referee = referee;
+        this.slackNs = slackNs;
+        this.zones = List.copyOf(zones);
+        this.ids = ids;
+    }
+
+    /** Adds a node. */
+    Target add(String zone, int port) {
+        Target target = new Target(zone, port);
+        targets.add(target);
+        return target;
+    }
+
+    boolean allAdmitted() {
+        return targets.stream().allMatch(t -> t.admitted);
+    }
+
+    /** The most connections that were open at once. */
+    int mostOpen() {
+        return mostOpen;
+    }
+
+    /** Opens so many connections to each node, ahead of need. */
+    void openAhead(int each) {
+        for (Target target : targets) {
+            for (int i = 0; i < each; i++) {
+                Client client = new Client(target);
+                client.begin(null);
+            }
+        }
+    }
+
+    private Target chosen(String zone, double draw) {
+        List<Target> near = targets.stream().filter(t -> t.admitted && t.zone.equals(zone)).toList();
+        List<Target> some = near.isEmpty() ? targets.stream().filter(t -> t.admitted).toList() : near;
+        return some.isEmpty() ? null : some.get((int) (draw * some.size()));
+    }
+
+    @Override
+    public void take(Ask ask, int zone, double draw, long until) {
+        Target target = chosen(zones.get(zone), draw);
+        if (target == null) {
+            ask.saw(Ask.Seen.UNREACHABLE, 0);
+            return;
+        }
+        send(target, new Try(ask, Long.toHexString(ids.getAsLong()), until, false));
+    }
+
+    private void send(Target target, Try call) {
+        Client client = target.idle.pollLast();
+        while (client != null && !client.wire.isOpen()) {
+            client = target.idle.pollLast();
+        }
+        if (client == null) {
+            client = new Client(target);
+            client.begin(call);
+        } else {
+            client.send(call);
+        }
+    }
+
+    /** One try of a client's. */
+    private record Try(Ask ask, String id, long until, boolean again) {
+        String request(long now) {
+            var rules = ask.law().rules();
+            boolean safe = rules.semantics() == Semantics.SAFE;
+            return (safe ? "GET /" : "POST /") + rules.name() + "?work=" + (long) ask.work()
+                    + " HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: "
+                    + rules.name() + "\r\nX-Time-Left: "
+                    + String.format(Locale.ROOT, "%.4f", Math.max(0, until - now) / 1e9)
+                    + (ask.tenant() == null ? "" : "\r\nX-Account: " + ask.tenant())
+                    + (rules.semantics() == Semantics.KEYED ? "\r\nIdempotency-Key: " + id : "")
+                    + (safe ? "\r\n\r\n" : "\r\nContent-Length: 4\r\n\r\npour");
+        }
+    }
+
+    /** A client's connection. */
+    private final class Client implements Wire.Listener {
+        private final Target target;
+        private Wire wire;
+        private Try call;
+        private boolean reused;
+        private boolean taken;
+        private Agenda.Entry overdue;
+
+        Client(Target target) {
+            this.target = target;
+        }
+
+        void begin(Try first) {
+            try {
+                wire = Wire.open(loop, target.address, this);
+            } catch (IOException e) {
+                if (first != null) {
+                    first.ask.saw(Ask.Seen.UNREACHABLE, 0);
+                }
+                return;
+            }
+            open++;
+            mostOpen = Math.max(mostOpen, open);
+            target.all.add(this);
+            if (first != null) {
+                send(first);
+            }
+        }
+
+        void send(Try next) {
+            call = next;
+            taken = false;
+            long now = agenda.now();
+            overdue = agenda.at(next.until + slackNs + GRACE_NS, this::overdue);
+            if (wire.isConnected()) {
+                take();
+            }
+            if (wire.isOpen()) {
+                wire.send(next.request(now));
+            }
+        }
+
+        /** The node's machine has the connection, so with the request's last byte the node has the call. */
+        private void take() {
+            taken = true;
+            var rules = call.ask.law().rules();
+            referee.taken(agenda.now(), call.id, new CallTerms(rules.name(), rules.semantics(), rules.group(),
+                    rules.windowNs(), call.until + GRACE_NS));
+        }
+
+        @Override
+        public void opened() {
+            if (call != null) {
+                take();
+            } else {
+                target.idle.addFirst(this);
+            }
+        }
+
+        @Override
+        public void message(HttpMessage message) {
+            if (call == null) {
+                wire.close();
+                forget();
+                return;
+            }
+            Try of = end();
+            int status = message.status();
+            boolean refused = status == 429 || status == 503;
+            if (status == 200 && !message.text().startsWith(of.id + " ")) {
+                referee.foreign(agenda.now(), of.id, message.text());
+            }
+            referee.answered(agenda.now(), of.id, status == 200 ? "served" : refused ? "refused" : "failed " + status);
+            if (message.lasts()) {
+                reused = true;
+                target.idle.addLast(this);
+            } else {
+                wire.close();
+                forget();
+            }
+            of.ask.saw(status == 200 ? Ask.Seen.SERVED : refused ? Ask.Seen.REFUSED : Ask.Seen.FAILED,
+                    advice(message.header("retry-after")));
+        }
+
+        private static long advice(String retryAfter) {
+            try {
+                return retryAfter == null ? 0 : (long) (Double.parseDouble(retryAfter) * 1e9);
+            } catch (NumberFormatException e) {
+                return 0;
+            }
+        }
+
+        private Try end() {
+            Try of = call;
+            call = null;
+            overdue.cancel();
+            return of;
+        }
+
+        private void forget() {
+            open--;
+            target.all.remove(this);
+            target.idle.remove(this);
+        }
+
+        @Override
+        public void closed(String how) {
+            forget();
+            if (call == null) {
+                return;
+            }
+            Try of = end();
+            if (!taken) {
+                of.ask.saw(Ask.Seen.UNREACHABLE, 0);
+            } else if (target.excused) {
+                referee.forget(of.id);
+                of.ask.saw(Ask.Seen.NOTHING, 0);
+            } else if (reused && !of.again && (how.equals("ended") || how.equals("reset"))) {
+                // The close has crossed the request, which is sent once more, on a new connection.
+                referee.forget(of.id);
+                new Client(target).begin(new Try(of.ask, of.id, of.until, true));
+            } else {
+                referee.lost(agenda.now(), of.id, "the connection " + how + " without an answer");
+                of.ask.saw(Ask.Seen.NOTHING, 0);
+            }
+        }
+
+        /** The client leaves. */
+        private void overdue() {
+            Try of = call;
+            call = null;
+            wire.close();
+            forget();
+            if (!taken) {
+                of.ask.saw(Ask.Seen.UNREACHABLE, 0);
+                return;
+            }
+            if (target.excused) {
+                referee.gone(agenda.now(), of.id);
+            } else {
+                referee.overdue(agenda.now(), of.id);
+            }
+            of.ask.saw(Ask.Seen.NOTHING, 0);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trailthread/lab/real/RealDay.java
@@ -0,0 +1,332 @@
+package trailthread.lab.real;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.tomlj.Toml;
+import trailthread.lab.agenda.Agenda;
+import trailthread.lab.clients.Clients;
+import trailthread.lab.figures.Figures;
+import trailthread.lab.random.Streams;
+import trailthread.lab.referee.Referee;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.troubles.Stricken;
+import trailthread.lab.troubles.Troubles;
+import trailthread.lab.worker.WorkerLaw;
+
+/**
+ * A day on sockets: the scenario's workers and roster as stand-ins on loopback, and, where asked for, its clients and real
+ * nodes. All but the nodes runs on one thread. Only loopback is spoken to.
+ */
+public final class RealDay implements Stricken, Closeable {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long STARTS_WITHIN_NS = 30 * SECOND;
+    private static final int CALLS_REMEMBERED = 200_000;
+
+    /** Attempts of one call so far, and where the last one went. */
+    private static final class Attempts {
+        private int count;
+        private EmulatedWorker last;
+    }
+
+    /**
+     * What a node is started with.
+     *
+     * @param root where
+     */
+    public record Program(List<String> command, Path root) {
+        /**
+         * As the platform starts it, by the deploy file of a checkout.
+         *
+         * @throws IOException if there is none, or it names no such command
+         */
+        public static Program ofCheckout(Path root) throws IOException {
+            String run = Toml.parse(root.resolve("deploy").resolve("balancer.toml")).getString("run");
+            if (run == null) {
+                throw new IOException("no run command in deploy/balancer.toml of " + root);
+            }
+            List<String> words = new ArrayList<>(List.of(run.strip().split(" +")));
+            words.remove("exec");
+            return new Program(words, root);
+        }
+    }
+
+    /** What each node held at the end of a second. */
+    public record NodeSecond(double[] rssMb, int[] descriptors, double[] cpuSeconds) {
+    }
+
+    private final Scenario scenario;
+    private final RealLoop loop = new RealLoop();
+    private final Streams streams;
+    private final List<EmulatedWorker> workers = new ArrayList<>();
+    private final List<NodeProcess> nodes = new ArrayList<>();
+    private final List<NodeSecond> nodeSeconds = new ArrayList<>();
+    private final EmulatedRoster roster;
+    private final UniformRandomProvider speeds;
+    private final int nodeCount;
+    private final long unixOffsetNs = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private final Map<String, Attempts> attempts = new LinkedHashMap<>(1024, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Attempts> eldest) {
+            return size() > CALLS_REMEMBERED;
+        }
+    };
+    private Referee referee;
+    private Figures figures;
+    private HttpFront front;
+    private Clients clients;
+    private long lastId = System.nanoTime() << 8 & 0xfffffffffffffL;
+
+    /**
+     * Starts workers and roster.
+     *
+     * @param nodeCount how many nodes there will be; each has addresses of its own
+     */
+    public RealDay(Scenario scenario, long seed, int nodeCount) throws IOException {
+        this.scenario = scenario;
+        this.nodeCount = nodeCount;
+        streams = new Streams(seed);
+        speeds = streams.of("speeds");
+        figures = new Figures(loop.agenda().now(), Long.MAX_VALUE);
+        roster = new EmulatedRoster(this, nodeCount);
+        for (int i = 0; i < scenario.fleet().workers(); i++) {
+            addWorker(scenario.zones().get(i % scenario.zones().size()), i, false);
+        }
+    }
+
+    /** Where a node, by its number, finds the roster. */
+    public String rosterAt(int node) {
+        return roster.hostPort(node);
+    }
+
+    /** Where a node finds the workers. */
+    public List<String> workersAt(int node) {
+        return workers.stream().map(w -> w.hostPort(node)).toList();
+    }
+
+    /** How late this machine did what was due. */
+    public RealLoop loop() {
+        return loop;
+    }
+
+    /** What came of it. */
+    public Figures figures() {
+        figures.at(now());
+        return figures;
+    }
+
+    /** How it was judged. */
+    public Referee referee() {
+        return referee;
+    }
+
+    /** By seconds, what the nodes held. */
+    public List<NodeSecond> nodeSeconds() {
+        return nodeSeconds;
+    }
+
+    /** Most connections of clients at once. */
+    public int mostConnections() {
+        return front == null ? 0 : front.mostOpen();
+    }
+
+    /** Starts real nodes with this command; what they say goes to files in the directory. */
+    public void startNodes(Program program, Path directory) throws IOException {
+        referee = new Referee(scenario.rules().answerSlackNs() + 50_000_000L, scenario.rules().drainGraceNs()
+                + 50_000_000L);
+        Files.createDirectories(directory);
+        front();
+        for (int i = 0; i < nodeCount; i++) {
+            int port;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = free.getLocalPort();
+            }
+            HttpFront.Target target = front.add(scenario.zones().get(i % scenario.zones().size()), port);
+            target.admitted = false;
+            NodeProcess node = new NodeProcess(this, i, target.zone, directory, program, target);
+            nodes.add(node);
+            node.start();
+        }
+        long until = System.nanoTime() + STARTS_WITHIN_NS;
+        while (!front.allAdmitted()) {
+            if (System.nanoTime() > until || nodes.stream().anyMatch(n -> !n.isRunning())) {
+                throw new IOException("a node does not become ready; see " + directory);
+            }
+            loop.runUntil(System.nanoTime() + SECOND / 20);
+        }
+    }
+
+    private void front() {
+        front = new HttpFront(loop, referee, scenario.rules().answerSlackNs(), scenario.zones(), () -> ++lastId);
+    }
+
+    /** Sends to these nodes, which others have started; without workers of its own nothing but answers is judged. */
+    public void sendTo(List<Integer> ports) {
+        referee = new Referee(scenario.rules().answerSlackNs() + 50_000_000L, Long.MAX_VALUE / 4);
+        front();
+        for (int i = 0; i < ports.size(); i++) {
+            front.add(scenario.zones().get(i % scenario.zones().size()), ports.get(i));
+        }
+    }
+
+    /** Opens so many clients' connections to each node, ahead of need. */
+    public void openAhead(int each) throws IOException {
+        front.openAhead(each);
+        loop.runUntil(System.nanoTime() + SECOND / 2);
+    }
+
+    /**
+     * Plays the day, from now on.
+     *
+     * @param withTroubles whether its faults happen
+     * @param everySecond  hears of its progress
+     */
+    public void play(boolean withTroubles, Consumer<RealDay> everySecond) throws IOException {
+        long begin = now();
+        figures = new Figures(begin, begin + scenario.warmUpNs());
+        loop.lateUs().reset();
+        if (front != null) {
+            clients = new Clients(agenda(), streams, scenario, figures, front);
+            clients.begin(begin + scenario.lengthNs());
+        }
+        if (withTroubles) {
+            Troubles.arrange(agenda(), streams, scenario.faults(), this);
+        }
+        sample(begin, begin + scenario.lengthNs(), everySecond);
+        cuts(begin + scenario.lengthNs());
+        long longest = scenario.classes().stream().mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
+        loop.runUntil(begin + scenario.lengthNs() + 2 * longest + SECOND / 2);
+        if (referee != null) {
+            referee.finish(now());
+        }
+    }
+
+    private void sample(long begin, long end, Consumer<RealDay> everySecond) {
+        agenda().in(SECOND, () -> {
+            figures.holds(now() - 1, workers.stream().mapToInt(w -> w.process().holds()).toArray());
+            List<NodeProcess.Sample> samples = nodes.stream().map(NodeProcess::sample).toList();
+            nodeSeconds.add(new NodeSecond(samples.stream().mapToDouble(NodeProcess.Sample::rssMb).toArray(),
+                    samples.stream().mapToInt(NodeProcess.Sample::descriptors).toArray(),
+                    samples.stream().mapToDouble(NodeProcess.Sample::cpuSeconds).toArray()));
+            everySecond.accept(this);
+            if (now() + SECOND <= end) {
+                sample(begin, end, everySecond);
+            }
+        });
+    }
+
+    /** Machines that are cut off fall silent within a moment. */
+
+    private void cuts(long end) {
+        workers.forEach(EmulatedWorker::arrangeCut);
+        if (now() < end) {
+            agenda().in(SECOND / 100, () -> cuts(end));
+        }
+    }
+
+    // ---- what the parts need -----------------------------------------------------------------------
+
+    void judged(Consumer<Referee> told) {
+        if (referee != null) {
+            told.accept(referee);
+        }
+    }
+
+    long now() {
+        return agenda().now();
+    }
+
+    long unixMs(long at) {
+        return at == 0 ? 0 : (at + unixOffsetNs) / 1_000_000;
+    }
+
+    Agenda agenda() {
+        return loop.agenda();
+    }
+
+    Streams streams() {
+        return streams;
+    }
+
+    Scenario scenario() {
+        return scenario;
+    }
+
+    EmulatedRoster roster() {
+        return roster;
+    }
+
+    int nodeCount() {
+        return nodeCount;
+    }
+
+    /** The number of an attempt that has come; an earlier one's connection that has ended by now is looked at first. */
+    int nextAttempt(String call, EmulatedWorker worker) {
+        Attempts of = attempts.computeIfAbsent(call, c -> new Attempts());
+        if (of.last != null) {
+            of.last.look(call);
+        }
+        of.last = worker;
+        return of.count++;
+    }
+
+    /** A worker under a new name. */
+    void addWorker(String zone, int place, boolean cold) {
+        var fleet = scenario.fleet();
+        WorkerLaw own = fleet.law().at(Streams.uniform(speeds, fleet.speedLow(), fleet.speedHigh()));
+        try {
+            EmulatedWorker worker = new EmulatedWorker(this, "w" + workers.size(), zone,
+                    fleet.cells() > 0 ? place % fleet.cells() : -1, own, cold);
+            workers.add(worker);
+            roster.add(worker);
+        } catch (IOException e) {
+            throw new IllegalStateException("no worker can be added", e);
+        }
+    }
+
+    @Override
+    public List<EmulatedWorker> workers() {
+        return workers;
+    }
+
+    @Override
+    public List<NodeProcess> nodes() {
+        return nodes;
+    }
+
+    @Override
+    public void rosterDown(boolean down) {
+        roster.down(down);
+    }
+
+    @Override
+    public void cutZone(String zone) {
+        for (EmulatedWorker worker : workers) { // nodes of the zone still reach it: they are on this machine
+            worker.process().ills.cut = zone != null && worker.zone.equals(zone);
+        }
+    }
+
+    @Override
+    public void tail(double share, double times) {
+        if (clients != null) {
+            clients.setTail(share, times);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        nodes.forEach(NodeProcess::end);
+        loop.close();
+    }
+}
--- a/lab/src/main/java/trailthread/lab/referee/Referee.java
+++ b/lab/src/main/java/trailthread/lab/referee/Referee.java
@@ -176,6 +176,22 @@
         release(call, watched);
     }
 
+    /** The answer that a call was given is none that a worker made for it. */
+    public void foreign(long at, String call, String what) {
+        Watched watched = calls.get(call);
+        violated(Rule.OWN_ANSWER, at, call, "served with: " + what, watched == null ? List.of() : watched.history);
+    }
+
+    /** A call's connection was ended by its node without a whole answer. */
+    public void lost(long at, String call, String how) {
+        Watched watched = calls.get(call);
+        if (watched != null) {
+            violated(Rule.ONE_ANSWER, at, call, how, watched.history);
+            watched.released = true;
+            release(call, watched);
+        }
+    }
+
     /** The client has gone early, or its node was killed: no answer is owed any more. */
     public void gone(long at, String call) {
         Watched watched = calls.get(call);
--- a/lab/src/main/java/trailthread/lab/referee/Rule.java
+++ b/lab/src/main/java/trailthread/lab/referee/Rule.java
@@ -6,6 +6,8 @@
     ONE_ANSWER("one final answer a call"),
     /** The answer comes before the client's time is over, with the slack of the settings. */
     IN_TIME("the answer comes in time"),
+    /** The answer is the one that a worker made for this call. */
+    OWN_ANSWER("the answer is the call's own"),
     /** Nothing is done again beyond what the class of the call allows. */
     REPEATS("nothing is repeated past its class"),
     /** At most one attempt of a call is out at a time. */
--- a/lab/src/main/java/trailthread/lab/scenario/Scenario.java
+++ b/lab/src/main/java/trailthread/lab/scenario/Scenario.java
@@ -137,6 +137,10 @@
         ROSTER_DOWN,
         /** {@code part} of the nodes are killed, and come back after the time with nothing known. */
         NODE_KILL,
+        /** {@code part} of the nodes are ended in order, one after the other, and started anew when they have ended. */
+        NODE_RESTART,
+        /** {@code part} of the nodes are told to read their configuration again, which has not changed. */
+        NODE_RELOAD,
         /** {@code part} of the nodes stop for the time and go on as if nothing were. */
         NODE_PAUSE
     }
@@ -157,6 +161,14 @@
         faults = List.copyOf(faults);
     }
 
+    /** The same with as few workers as there can be: others have their own. */
+    public Scenario withoutWorkers() {
+        FleetLaw one = new FleetLaw(1, fleet.law(), 1, 1, 0, false, fleet.everyLowNs(), fleet.everyHighNs(), 0,
+                fleet.probeWorkNs(), fleet.deepProbes());
+        return new Scenario(name, about, lengthNs, warmUpNs, nodes, zones, classes, tenants, clients, network, one,
+                list, rules, List.of());
+    }
+
     /** The mean work of a request, in ns on a standard core. */
     public double meanWorkNs() {
         double shares = classes.stream().mapToDouble(ClassLaw::share).sum();
--- a/lab/src/main/java/trailthread/lab/troubles/Stricken.java
+++ b/lab/src/main/java/trailthread/lab/troubles/Stricken.java
@@ -37,6 +37,12 @@
         /** Starts it again. */
         void start();
 
+        /** Ends it in order, and starts it again when it has ended. */
+        void restart();
+
+        /** Tells it to read its configuration again. */
+        void reload();
+
         /** Stops it for so long, in ns. */
         void pause(long forNs);
     }
--- a/lab/src/main/java/trailthread/lab/troubles/Troubles.java
+++ b/lab/src/main/java/trailthread/lab/troubles/Troubles.java
@@ -96,6 +96,13 @@
                 node.kill();
                 agenda.in(fault.forNs(), node::start);
             });
+            case NODE_RESTART -> {
+                List<Stricken.Node> all = struck(List.copyOf(day.nodes()), fault.part(), random);
+                for (int i = 0; i < all.size(); i++) {
+                    agenda.in(fault.forNs() * i / all.size(), all.get(i)::restart);
+                }
+            }
+            case NODE_RELOAD -> struck(day.nodes(), fault.part(), random).forEach(Stricken.Node::reload);
             case NODE_PAUSE -> struck(day.nodes(), fault.part(), random).forEach(node -> node.pause(fault.forNs()));
             default -> throw new IllegalStateException(fault.trouble().name());
         }
--- a/lab/src/main/java/trailthread/lab/worker/WorkerLaw.java
+++ b/lab/src/main/java/trailthread/lab/worker/WorkerLaw.java
@@ -50,6 +50,11 @@
         return new WorkerLaw(speed, cores, slots, room, 0, Jam.NEVER, Cold.NEVER, false);
     }
 
+    /** The same of another speed: so many times this one's. */
+    public WorkerLaw at(double times) {
+        return new WorkerLaw(speed * times, cores, slots, room, crowding, jam, cold, cancelStops);
+    }
+
     /** Work that it can do in a second when warm and not crowded, in ns on a standard core. */
     public double capacity() {
         return speed * Math.min(cores, slots) * 1e9;
--- a/lab/src/main/java/trailthread/lab/world/SimNode.java
+++ b/lab/src/main/java/trailthread/lab/world/SimNode.java
@@ -45,6 +45,7 @@
     private boolean up = true;
     private long pausedUntil;
     private long diedAt;
+    private boolean leaving;
     private int timers;
     private int atOnce;
     private long lastAt;
@@ -61,6 +62,7 @@
     @Override
     public void start() {
         up = true;
+        leaving = false;
         life++;
         Settings settings = world.settings(this);
         module = world.policy().make(settings, world.streams().seedOf(name + " life " + life), world.now(), this,
@@ -95,6 +97,28 @@
         return pausedUntil > world.now();
     }
 
+    /** New calls go elsewhere until it is back; it ends once all that it had must have been answered. */
+    @Override
+    public void restart() {
+        leaving = true;
+        int of = life;
+        world.agenda().in(world.longestDeadline(), () -> {
+            if (life == of) {
+                kill();
+                start();
+            }
+        });
+    }
+
+    @Override
+    public void reload() {
+        // nothing has changed in it
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
     /** When it died last. */
     long diedAt() {
         return diedAt;
--- a/lab/src/main/java/trailthread/lab/world/World.java
+++ b/lab/src/main/java/trailthread/lab/world/World.java
@@ -92,9 +92,8 @@
         long end = BEGIN + scenario.lengthNs();
         clients.begin(end);
         sample(end);
-        long longest = scenario.classes().stream().mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
         // After the last arrival it runs on until all is answered.
-        for (long until = end + 2 * longest + SECOND; agenda.now() < until && agenda.size() > 0;) {
+        for (long until = end + 2 * longestDeadline() + SECOND; agenda.now() < until && agenda.size() > 0;) {
             agenda.runUntil(Math.min(until, agenda.now() + SECOND));
         }
         referee.finish(agenda.now());
@@ -103,10 +102,7 @@
     /** A worker under a new name. */
     void addWorker(String zone, int place, boolean cold) {
         var fleet = scenario.fleet();
-        WorkerLaw law = fleet.law();
-        double speed = Streams.uniform(speeds, fleet.speedLow(), fleet.speedHigh());
-        WorkerLaw own = new WorkerLaw(law.speed() * speed, law.cores(), law.slots(), law.room(), law.crowding(),
-                law.jam(), law.cold(), law.cancelStops());
+        WorkerLaw own = fleet.law().at(Streams.uniform(speeds, fleet.speedLow(), fleet.speedHigh()));
         int cell = fleet.cells() > 0 ? place % fleet.cells() : -1;
         SimWorker worker = new SimWorker(this, "w" + workers.size(), workers.size(), zone, cell, own, cold);
         workers.add(worker);
@@ -146,7 +142,7 @@
     }
 
     private boolean frontKnows(SimNode node) {
-        return node.isUp() || agenda.now() - node.diedAt() < FRONT_LEARNS_NS;
+        return node.isUp() && !node.isLeaving() || !node.isUp() && agenda.now() - node.diedAt() < FRONT_LEARNS_NS;
     }
 
     // ---- what the parts need -----------------------------------------------------------------------
@@ -225,6 +221,10 @@
         cutZone = zone;
     }
 
+    long longestDeadline() {
+        return scenario.classes().stream().mapToLong(c -> c.rules().deadlineNs()).max().orElseThrow();
+    }
+
     /** What takes longer to tell its load than the tightest aim is fit for nothing just now. */
     long probeWithinNs() {
         return scenario.classes().stream().mapToLong(c -> c.rules().aimNs()).min().orElseThrow();
--- a/lab/src/test/java/trailthread/lab/referee/RefereeTest.java
+++ b/lab/src/test/java/trailthread/lab/referee/RefereeTest.java
@@ -189,6 +189,24 @@
         broken();
     }
 
+    @Test
+    public void anAnswerThatWasMadeForAnother() {
+        take(Semantics.SAFE, Group.ALL);
+        attempt(1, 0, A, true, Outcome.OK);
+        referee.answered(5, "7", "served");
+        broken();
+        referee.foreign(5, "7", "8 w1");
+        broken(Rule.OWN_ANSWER);
+    }
+
+    @Test
+    public void aConnectionThatItsNodeEnds() {
+        take(Semantics.SAFE, Group.ALL);
+        referee.lost(5, "7", "the connection ended without an answer");
+        referee.overdue(1100, "7"); // the call is over: once is enough
+        broken(Rule.ONE_ANSWER);
+    }
+
     @Test
     public void aColdWorkerPushedOver() {
         referee.fell(9, "a");
--- a/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
+++ b/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
@@ -52,7 +52,7 @@
         faulty(GOOD + "[[faults]]\ntrouble = \"gremlins\"\nat = \"1s\"\n",
                 "f:13:1: faults[0].trouble: expected one of fast_errors, lost_answers, resets, garbage, drips, slow, "
                         + "late_reports, heavy_tail, cut, zone_cut, restart, replace, cold_fleet, roster_down, "
-                        + "node_kill, node_pause, found gremlins");
+                        + "node_kill, node_restart, node_reload, node_pause, found gremlins");
         faulty(GOOD + "[[faults]]\ntrouble = \"zone_cut\"\nat = \"1s\"\nzone = \"q\"\n",
                 "f:15:1: faults[0].zone: expected one of a, found q");
     }
