--- a/lab/src/main/java/trailthread/lab/real/NodeProcess.java
+++ b/lab/src/main/java/trailthread/lab/real/NodeProcess.java
@@ -101,6 +101,7 @@
     public void start() {
         try {
             Files.writeString(config, json(), StandardCharsets.UTF_8);
+            day.roster().known(number);
             ProcessBuilder builder = new ProcessBuilder(command).directory(root).redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
             builder.environment().put("LB_CONFIG", config.toString());
--- a/lab/src/main/java/trailthread/lab/world/World.java
+++ b/lab/src/main/java/trailthread/lab/world/World.java
@@ -118,7 +118,20 @@
         if (node == null || !node.isUp()) {
             ask.saw(Ask.Seen.UNREACHABLE, 0);
         } else {
-            node.input(() -> node.take(ask, until));
+            boolean[] heard = new boolean[1];
+            node.input(() -> {
+                if (now() <= until) { // else its client has left, before a node that was stopped came to read it
+                    heard[0] = true;
+                    node.take(ask, until);
+                }
+            });
+            if (!heard[0]) {
+                agenda.at(until + 1, () -> {
+                    if (!heard[0]) {
+                        ask.saw(Ask.Seen.NOTHING, 0);
+                    }
+                });
+            }
         }
     }
 
