--- a/lab/src/main/java/trailthread/lab/clients/Ask.java
+++ b/lab/src/main/java/trailthread/lab/clients/Ask.java
@@ -90,6 +90,7 @@
     private void end(Seen seen) {
         if (!done) {
             done = true;
+            clients.ended();
             clients.figures().ended(law, seen == Seen.SERVED, seen == Seen.REFUSED, begunAt, clients.now(), tries);
         }
     }
--- a/lab/src/main/java/trailthread/lab/clients/Clients.java
+++ b/lab/src/main/java/trailthread/lab/clients/Clients.java
@@ -29,6 +29,7 @@
     private final long begin;
     private double tailShare;
     private double tailTimes = 1;
+    private int open;
 
     /** Those of a day that begins now. */
     public Clients(Agenda agenda, Streams streams, Scenario scenario, Figures figures, Front front) {
@@ -50,6 +51,15 @@
         tailTimes = times;
     }
 
+    /** Requests that have not come to their ends. */
+    public int open() {
+        return open;
+    }
+
+    void ended() {
+        open--;
+    }
+
     long now() {
         return agenda.now();
     }
@@ -104,6 +114,7 @@
         } while (at < end && arrivals.nextDouble() * most >= rate(at));
         if (at < end) {
             agenda.at(at, () -> {
+                open++;
                 ask().attempt();
                 arrive(most, end);
             });
--- a/lab/src/main/java/trailthread/lab/process/WorkerProcess.java
+++ b/lab/src/main/java/trailthread/lab/process/WorkerProcess.java
@@ -174,22 +174,23 @@
         }
     }
 
-    /** Work that belongs to nobody, as a connection's opening. */
+    /** Work that belongs to no request, as a connection's opening. */
     public void works(double ns) {
         if (ns > 0) {
             advance();
-            model.arrive(agenda.now(), new Served(ns, null, () -> { }, 0));
+            model.takes(ns);
             arrange();
         }
     }
 
     /** A probe has come; {@code done} is run when its answer leaves, and never if there is none. */
     public void probes(Runnable done) {
-        advance();
-        model.arrive(agenda.now(), new Served(Math.max(1, fleet.probeWorkNs()), null,
-                fleet.deepProbes() ? done : () -> { }, 0));
-        arrange();
-        if (!fleet.deepProbes()) {
+        if (fleet.deepProbes()) {
+            advance();
+            model.arrive(agenda.now(), new Served(Math.max(1, fleet.probeWorkNs()), null, done, 0));
+            arrange();
+        } else {
+            works(fleet.probeWorkNs());
             done.run();
         }
     }
--- a/lab/src/main/java/trailthread/lab/real/EmulatedWorker.java
+++ b/lab/src/main/java/trailthread/lab/real/EmulatedWorker.java
@@ -74,8 +74,8 @@
     }
 
     /**
-     * Cuts it off or joins it again, as its ills say. Connections of before are reset once it is back: what was written to
-     * them meanwhile lies in this machine's buffers, and was lost on the way to another one.
+     * Cuts it off or joins it again, as its ills say. Connections of before are reset once it is back: what was written
+     * to them meanwhile lies in this machine's buffers, and was lost on the way to another one.
      */
     void arrangeCut() {
         if (process.ills.cut == wasCut) {
--- a/lab/src/main/java/trailthread/lab/real/HttpFront.java
+++ b/lab/src/main/java/trailthread/lab/real/HttpFront.java
@@ -18,8 +18,8 @@
 import trailthread.lab.referee.Referee;
 
 /**
- * Clients on sockets, in the platform's protocol: connections are kept, carry one request at a time, and further ones are
- * opened when all are busy. The nodes of a zone share its clients.
+ * Clients on sockets, in the platform's protocol: connections are kept, carry one request at a time, and further ones
+ * are opened when all are busy. The nodes of a zone share its clients.
  */
 final class HttpFront implements Front {
     /** A node that clients send to. */
@@ -194,8 +194,8 @@
             taken = true;
             excused = target.excused;
             var rules = call.ask.law().rules();
-            referee.taken(agenda.now(), call.id, target.name, new CallTerms(rules.name(), rules.semantics(), rules.group(),
-                    rules.windowNs(), call.until + GRACE_NS));
+            referee.taken(agenda.now(), call.id, target.name, new CallTerms(rules.name(), rules.semantics(),
+                    rules.group(), rules.windowNs(), call.until + GRACE_NS));
         }
 
         @Override
@@ -220,7 +220,8 @@
             if (status == 200 && !message.text().startsWith(of.id + " ")) {
                 referee.foreign(agenda.now(), of.id, message.text());
             }
-            referee.answered(agenda.now(), of.id, status == 200 ? "served" : refused ? "refused" : "failed " + status);
+            referee.answered(agenda.now(), of.id,
+                    status == 200 ? "served" : refused ? "refused" : "failed " + status);
             if (message.lasts()) {
                 reused = true;
                 target.idle.addLast(this);
--- a/lab/src/main/java/trailthread/lab/real/NodeProcess.java
+++ b/lab/src/main/java/trailthread/lab/real/NodeProcess.java
@@ -54,7 +54,7 @@
         for (var law : s.classes()) {
             var c = law.rules();
             categories.add(Map.of("name", c.name(), "aim_ns", c.aimNs(), "deadline_ns", c.deadlineNs(), "semantics",
-                    c.semantics() == Semantics.SAFE ? "retryable" : c.semantics() == Semantics.KEYED ? "dedup" : "fragile",
+                    semantics(c.semantics()),
                     "group", c.group().name().toLowerCase(Locale.ROOT), "window_ns", c.windowNs(), "gain", c.worth(),
                     "late_value", c.lateWorth()));
         }
@@ -93,6 +93,14 @@
         return text.substring(0, text.length() - 1) + ",\"known\":" + day.roster().whole(number) + "}";
     }
 
+    private static String semantics(Semantics semantics) {
+        return switch (semantics) {
+            case SAFE -> "retryable";
+            case KEYED -> "dedup";
+            case UNSAFE -> "fragile";
+        };
+    }
+
     boolean isRunning() {
         return process != null && process.isAlive();
     }
--- a/lab/src/main/java/trailthread/lab/real/RealDay.java
+++ b/lab/src/main/java/trailthread/lab/real/RealDay.java
@@ -24,8 +24,8 @@
 import trailthread.lab.worker.WorkerLaw;
 
 /**
- * A day on sockets: the scenario's workers and roster as stand-ins on loopback, and, where asked for, its clients and real
- * nodes. All but the nodes runs on one thread. Only loopback is spoken to.
+ * A day on sockets: the scenario's workers and roster as stand-ins on loopback, and, where asked for, its clients and
+ * real nodes. All but the nodes runs on one thread. Only loopback is spoken to.
  */
 public final class RealDay implements Stricken, Closeable {
     private static final long SECOND = 1_000_000_000L;
@@ -206,7 +206,11 @@
         sample(begin, begin + scenario.lengthNs(), everySecond);
         cuts(begin + scenario.lengthNs());
         long longest = scenario.classes().stream().mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
-        loop.runUntil(begin + scenario.lengthNs() + 2 * longest + SECOND / 2);
+        long end = begin + scenario.lengthNs();
+        loop.runUntil(end);
+        while (System.nanoTime() < end + 2 * longest && clients != null && clients.open() > 0) {
+            loop.runUntil(System.nanoTime() + SECOND / 20);
+        }
         if (referee != null) {
             referee.finish(now());
         }
--- a/lab/src/main/java/trailthread/lab/worker/WorkerModel.java
+++ b/lab/src/main/java/trailthread/lab/worker/WorkerModel.java
@@ -192,6 +192,16 @@
         }
     }
 
+    /**
+     * Work beside all requests, as for a new connection, so much on a standard core: it is taken from what is in work,
+     * in equal parts; an idle core does it unseen. {@link #advance} to this time must have been called.
+     */
+    public void takes(double work) {
+        if (!working.isEmpty()) {
+            served -= work / working.size();
+        }
+    }
+
     /** Everything that it holds is gone, as with the process. */
     public void clear() {
         working.forEach(job -> job.state = Job.State.OVER);
--- a/lab/src/main/java/trailthread/lab/world/SimNode.java
+++ b/lab/src/main/java/trailthread/lab/world/SimNode.java
@@ -184,8 +184,8 @@
         SimCall call = new SimCall(world.nextId(), world.nextSerial(), ask, world.now(), until);
         calls.put(call.id, call);
         var rules = ask.law().rules();
-        world.referee().taken(world.now(), call.name, name, new CallTerms(rules.name(), rules.semantics(), rules.group(),
-                rules.windowNs(), until));
+        world.referee().taken(world.now(), call.name, name, new CallTerms(rules.name(), rules.semantics(),
+                rules.group(), rules.windowNs(), until));
         long slack = world.scenario().rules().answerSlackNs();
         world.agenda().at(until + slack + 1, () -> clientLeaves(call));
         event((m, now) -> m.request(now, call.id, rules.name(), 0, until, ask.tenant(), false, ask.key()));
--- a/lab/src/main/java/trailthread/lab/world/World.java
+++ b/lab/src/main/java/trailthread/lab/world/World.java
@@ -93,7 +93,8 @@
         clients.begin(end);
         sample(end);
         // After the last arrival it runs on until all is answered.
-        for (long until = end + 2 * longestDeadline() + SECOND; agenda.now() < until && agenda.size() > 0;) {
+        for (long until = end + 2 * longestDeadline() + SECOND; agenda.now() < until
+                && (agenda.now() < end || clients.open() > 0);) {
             agenda.runUntil(Math.min(until, agenda.now() + SECOND));
         }
         referee.finish(agenda.now());
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/real/RealDayTest.java
@@ -0,0 +1,99 @@
+package trailthread.lab.real;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.Test;
+import trailthread.lab.scenario.Scenario;
+import trailthread.lab.scenario.ScenarioReader;
+
+/** Real nodes between the stand-ins, through troubles of every kind that sockets know; all times are generous. */
+public class RealDayTest {
+    private static final String SCENARIO = """
+            name = "test"
+            length = "14s"
+            nodes = 2
+            zones = ["a", "b"]
+            [clients]
+            per_second = 60
+            retries = 2
+            [[classes]]
+            name = "state"
+            work = ["5ms", "9ms"]
+            share = 0.6
+            aim = "10s"
+            deadline = "10s"
+            [[classes]]
+            name = "attempt"
+            repeats = "unsafe"
+            work = "5ms"
+            share = 0.4
+            aim = "10s"
+            deadline = "10s"
+            [fleet]
+            workers = 5
+            slots = 4
+            room = 100
+            [list]
+            delay = ["10ms", "100ms"]
+            [rules]
+            answer_slack = "5s"
+            drain_grace = "5s"
+            [[faults]]
+            trouble = "garbage"
+            at = "1s"
+            for = "3s"
+            part = 0.4
+            size = 0.3
+            [[faults]]
+            trouble = "resets"
+            at = "2s"
+            for = "2s"
+            part = 0.4
+            size = 0.3
+            [[faults]]
+            trouble = "node_kill"
+            at = "3s"
+            for = "1s"
+            part = 0.5
+            [[faults]]
+            trouble = "restart"
+            at = "4s"
+            for = "6s"
+            part = 0.6
+            [[faults]]
+            trouble = "node_restart"
+            at = "7s"
+            for = "3s"
+            part = 1.0
+            [[faults]]
+            trouble = "node_reload"
+            at = "11s"
+            part = 1.0
+            [[faults]]
+            trouble = "node_pause"
+            at = "12s"
+            for = "500ms"
+            part = 0.5
+            """;
+
+    @Test
+    public void noRuleIsBrokenAndMostIsServed() throws Exception {
+        Scenario scenario = ScenarioReader.parse("test", SCENARIO);
+        Path logs = Files.createTempDirectory("lab");
+        List<String> command = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "-Xmx64m", "trailthread.daemon.Main", "serve");
+        try (RealDay day = new RealDay(scenario, 7, scenario.nodes())) {
+            day.startNodes(new RealDay.Program(command, Path.of("").toAbsolutePath()), logs);
+            day.play(true, d -> { });
+            assertEquals(day.referee().violations().toString(), Map.of(), day.referee().broken());
+            assertTrue("judged " + day.referee().judged(), day.referee().judged() > 500);
+            assertTrue("goodput " + day.figures().goodput(), day.figures().goodput() > 0.8);
+            assertTrue("what nodes hold is looked at", day.nodeSeconds().get(1).rssMb()[0] > 1);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/real/RealLoopTest.java
@@ -0,0 +1,39 @@
+package trailthread.lab.real;
+
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import org.junit.Test;
+
+/** A run on a machine that was too busy is no result. */
+public class RealLoopTest {
+    private static boolean late(long eachBlocksMs) throws IOException {
+        try (RealLoop loop = new RealLoop()) {
+            for (int i = 0; i < 50; i++) {
+                loop.agenda().in(i * 1_000_000L, () -> {
+                    try {
+                        Thread.sleep(eachBlocksMs);
+                    } catch (InterruptedException e) {
+                        throw new AssertionError(e);
+                    }
+                });
+            }
+            loop.runUntil(System.nanoTime() + 51_000_000L);
+            return loop.wasLate();
+        }
+    }
+
+    @Test
+    public void aLateRunIsMarked() throws IOException {
+        assertTrue(late(5));
+    }
+
+    @Test
+    public void oneWithoutAnythingToDoIsNot() throws IOException {
+        try (RealLoop loop = new RealLoop()) {
+            loop.runUntil(System.nanoTime() + 5_000_000L);
+            assertFalse(loop.wasLate());
+        }
+    }
+}
--- a/lab/src/test/java/trailthread/lab/worker/WorkerModelTest.java
+++ b/lab/src/test/java/trailthread/lab/worker/WorkerModelTest.java
@@ -74,6 +74,18 @@
         assertEquals("two, each at half, at 1 / 1.5", List.of("a@30", "b@30"), done);
     }
 
+    @Test
+    public void workBesideRequestsIsTakenFromThoseInWork() {
+        start(WorkerLaw.plain(1, 1, 8, 0), false);
+        model.takes(100 * MS); // by an idle core
+        bring(0, new Named("a", 10 * MS));
+        bring(0, new Named("b", 10 * MS));
+        advance(5 * MS);
+        model.takes(4 * MS);
+        advance(100 * MS);
+        assertEquals(List.of("a@24", "b@24"), done);
+    }
+
     @Test
     public void whatWaitsIsDroppedAndWhatWorksGoesOn() {
         start(WorkerLaw.plain(1, 1, 1, 8), false);
