Answer operators at one door: ready, true figures, drain and its end

Need: the operators' staff ask the node, read its figures and drain it; the endpoint that there was had other names, told figures up to a second old, and drained nothing.

The endpoint listens where `management` or LB_MANAGEMENT says (operator.listen is the older name) and answers to the operators' names under /-/, one call to a connection. The figures are counted and written on the loop, when asked; an attempt counts when its connection has written its last byte; the module tells how many workers it avoids. Code for /metrics is loaded with the first scrape instead of at each start: it is rendered beside the loop as before.

Ruled out: figures from the rendered body of /metrics (up to a second old), a second listener.

--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -20,6 +20,7 @@
 import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeControl;
 import trailthread.engine.meter.NodeView;
 import trailthread.engine.roster.Roster;
 import trailthread.engine.roster.RosterEntry;
@@ -30,7 +31,7 @@
 import trailthread.engine.worker.Workers;
 
 /** One node: its parts, how they are joined, its start and its end. */
-final class Node implements RosterListener, NodeView {
+final class Node implements RosterListener, NodeView, NodeControl {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /** Descriptors that the virtual machine, the listening socket and the roster take. */
     private static final int OWN_DESCRIPTORS = 48;
@@ -50,6 +51,7 @@
     private final Calls calls;
     private final Roster roster;
     private final Acceptor acceptor;
+    private final Drain drain;
     /** Null where operators are told nothing: no class of it is loaded then. */
     private final OperatorEndpoint operator;
     /** Null where the node has no levels of service: no class of it is loaded then. */
@@ -59,8 +61,8 @@
     Node(NodeConfig config) throws IOException {
         this.config = config;
         loop = new Loop(config.name());
-        operator = config.operatorListen() == null ? null
-                : new OperatorEndpoint(loop, config.name(), config.settings().classes, this);
+        operator = config.management() == null ? null
+                : new OperatorEndpoint(loop, config.name(), config.settings().classes, this, this);
         Meter operators = operator == null ? Meter.OFF : operator.meter();
         service = config.levels() == null ? null
                 : new Service(loop, config.levels(), config.settings(), operators);
@@ -75,6 +77,7 @@
         calls.setRoster(roster);
         acceptor = new Acceptor(loop, forClients, Math.min(forClients, (int) (CALLERS_SHARE * config.sockets())),
                 front(calls), meter);
+        drain = new Drain(loop, acceptor);
     }
 
     private PlatformFront front(CallTaker taker) {
@@ -84,7 +87,7 @@
     /** Opens the clients' address and serves from then on. */
     void start() throws IOException {
         if (operator != null) {
-            operator.listen(config.operatorListen());
+            operator.listen(config.management());
         }
         InetSocketAddress address = acceptor.listen(config.listen());
         loop.execute(() -> {
@@ -126,16 +129,20 @@
             try {
                 config = config.reload(environment);
                 InetSocketAddress discovery = config.discovery();
-                loop.execute(() -> roster.move(discovery));
+                loop.execute(() -> {
+                    roster.move(discovery);
+                    meter.reloaded(true);
+                });
             } catch (ConfigException e) {
                 LOG.error("configuration not taken over: {}", e.getMessage());
+                loop.execute(() -> meter.reloaded(false));
             }
         });
     }
 
     /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     void stop() throws InterruptedException {
-        PlannedEnd.await(loop, acceptor, config.name(),
+        PlannedEnd.await(loop, acceptor, drain, config.name(),
                 config.settings().classes.stream().mapToLong(RequestClass::deadlineNs).max().orElseThrow());
     }
 
@@ -164,6 +171,21 @@
         return workers.connections();
     }
 
+    @Override
+    public int avoidedWorkers() {
+        return calls.avoidedWorkers();
+    }
+
+    @Override
+    public boolean drain() {
+        return drain.drain();
+    }
+
+    @Override
+    public boolean resume() {
+        return drain.resume();
+    }
+
     @Override
     public int descriptorLimit() {
         return config.sockets();
--- a/daemon/src/main/java/trailthread/daemon/NodeConfig.java
+++ b/daemon/src/main/java/trailthread/daemon/NodeConfig.java
@@ -27,12 +27,12 @@
  * @param known        the list of workers as this node had it last, perhaps old
  * @param idleCloseNs  how long a worker leaves an idle connection open
  * @param drainGraceNs how long after the news of a drain something new may still be sent
- * @param operatorListen where operators are told of the node, or null: nowhere
+ * @param management   where operators ask and steer the node, or null: nowhere
  * @param levels       levels of service, or null: none
  */
 record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, String told, long seed,
                   int sockets, RosterUpdate known, Settings settings, long idleCloseNs, long drainGraceNs,
-                  InetSocketAddress operatorListen, LevelsConfig levels) {
+                  InetSocketAddress management, LevelsConfig levels) {
     private static final String FILE = "LB_CONFIG";
     private static final int DEFAULT_SOCKETS = 1024;
     /** The virtual machine alone holds some thirty. */
@@ -61,7 +61,7 @@
         boolean moves = !now.told.isEmpty() && !now.told.equals(told);
         return new NodeConfig(name, listen, moves ? address("discovery", now.told, 1) : discovery,
                 moves ? now.told : told, seed, sockets, known, settings, idleCloseNs, drainGraceNs,
-                operatorListen, levels);
+                management, levels);
     }
 
     static NodeConfig parse(Reader json, Map<String, String> environment) throws ConfigException {
@@ -69,7 +69,8 @@
         String listen = "";
         String discovery = "";
         String seed = "";
-        String operatorListen = null;
+        String management = environment.get("LB_MANAGEMENT");
+        String managementKey = "management";
         Map<String, String> levels = null;
         int sockets = DEFAULT_SOCKETS;
         RosterUpdate known = new RosterUpdate(0, true, List.of());
@@ -87,7 +88,16 @@
                     case "seed" -> seed = in.nextString();
                     case "limits" -> sockets = sockets(in);
                     case "known" -> known = RosterParser.read(in);
-                    case "operator" -> operatorListen = operatorListen(in);
+                    case "management" -> {
+                        String told = in.nextString();
+                        management = environment.getOrDefault("LB_MANAGEMENT", told);
+                        managementKey = key;
+                    }
+                    case "operator" -> { // the older name of the same
+                        String told = operatorListen(in);
+                        managementKey = management == null ? "operator.listen" : managementKey;
+                        management = management == null ? told : management;
+                    }
                     case "levels" -> {
                         levels = new HashMap<>();
                         flatten("", in, levels::put);
@@ -109,7 +119,7 @@
                     discovery, seed(seed), sockets, known, usable,
                     settings.whole("limits.idle_close_ns", DEFAULT_IDLE_CLOSE_NS),
                     settings.whole("safety.drain_grace_ns", DEFAULT_DRAIN_GRACE_NS),
-                    operatorListen == null ? null : address("operator.listen", operatorListen, 0),
+                    management == null ? null : address(managementKey, management, 0),
                     levels == null ? null : LevelsConfig.parse(levels, usable.classes));
         } catch (IllegalArgumentException e) {
             throw new ConfigException(e);
--- a/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
+++ b/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
@@ -30,13 +30,14 @@
      *
      * @param longestNs of all deadlines
      */
-    public static void await(Loop loop, Acceptor acceptor, String name, long longestNs)
+    public static void await(Loop loop, Acceptor acceptor, Drain drain, String name, long longestNs)
             throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             LOG.info("{} stops", name);
+            drain.end();
             acceptor.setReady(false);
-            loop.after(SERVES_ON_NS - LAST_ANSWERS_NS, acceptor::endWithAnswers);
+            loop.after(SERVES_ON_NS - LAST_ANSWERS_NS, () -> acceptor.endWithAnswers(true));
             loop.after(SERVES_ON_NS, () -> acceptor.close(done::countDown));
         });
         done.await(SERVES_ON_NS + longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -137,7 +137,7 @@
         String id = prefix + count;
         workers.delegate(SELF, new WorkerRequest(id, c.name(), safe ? "GET" : "POST", "/" + c.name(),
                 c.semantics() == Semantics.KEYED ? id : null, safe ? new byte[0] : BODY, null),
-                CALL_WITHIN_NS, this::next);
+                CALL_WITHIN_NS, () -> { }, this::next);
     }
 
     @Override
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -42,6 +42,7 @@
     private Front front;
     private AcceptingChannel<StreamConnection> server;
     private boolean ready;
+    private boolean drained;
     private boolean closing;
     private Runnable closed;
 
@@ -96,7 +97,17 @@
 
     /** Whether the front may send clients here. */
     public boolean isReady() {
-        return ready;
+        return ready && !drained;
+    }
+
+    /** Whether the front is to send no clients, ready or not. */
+    public void setDrained(boolean drained) {
+        this.drained = drained;
+    }
+
+    /** Closes what carries no call, after a last look at what has come on it. */
+    public void closeUnused() {
+        connections.closeUnused();
     }
 
     /** How many connections there are in each state. */
@@ -109,9 +120,9 @@
         this.ready = ready;
     }
 
-    /** Ends each connection with its next answer from now on, so that clients go elsewhere. */
-    public void endWithAnswers() {
-        connections.endWithAnswers(true);
+    /** Whether each connection ends with its next answer from now on, so that clients go elsewhere. */
+    public void endWithAnswers(boolean end) {
+        connections.endWithAnswers(end);
     }
 
     /** Takes no further connections; those open end after the call that they carry. */
@@ -141,7 +152,7 @@
         long headersAt = loop.now();
         long owedBy = track(exchange);
         if (exchange.getRequestURI().equals(front.readyPath())) {
-            exchange.setStatusCode(ready ? 200 : 503);
+            exchange.setStatusCode(isReady() ? 200 : 503);
             exchange.setPersistent(exchange.isPersistent()
                     && !connections.endsWithAnswer(ClientConnection.of(exchange)));
             return;
--- a/daemon/src/main/java/trailthread/daemon/operator/Bodies.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Bodies.java
@@ -88,13 +88,6 @@
         }
     }
 
-    /** Makes each form once, for nobody. Guards calls against code that loads with a first scrape. */
-    void tryAll() {
-        for (Form form : Form.values()) {
-            ask(form, body -> { });
-        }
-    }
-
     private byte[] render(Form form, Snapshot snapshot) {
         try {
             ProcessFigures process = ProcessFigures.read();
--- a/daemon/src/main/java/trailthread/daemon/operator/Limits.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Limits.java
@@ -15,5 +15,5 @@
               long acceptEveryNs, long freshNs) {
     /** All clients together then cost the loop some percents of its time at the most. */
     static final Limits USUAL =
-            new Limits(8, 15_000, 2_000, 10_000_000_000L, 100_000_000L, 100_000_000L, 1_000_000_000L);
+            new Limits(24, 15_000, 2_000, 10_000_000_000L, 100_000_000L, 10_000_000L, 1_000_000_000L);
 }
--- a/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
@@ -27,6 +27,9 @@
     private final long[] probes = new long[Outcome.values().length];
     private final Durations lateness = new Durations();
     private long attemptsAtWork;
+    private long attemptsSent;
+    private long reloadsTaken;
+    private long reloadsTurnedDown;
     private String level;
     private long levelSince;
 
@@ -72,6 +75,11 @@
         }
     }
 
+    @Override
+    public void attemptSent() {
+        attemptsSent++;
+    }
+
     @Override
     public void attemptEnded(String worker, Outcome outcome, long latencyNs, Load load) {
         attemptsAtWork--;
@@ -112,6 +120,12 @@
         }
     }
 
+    @Override
+    public void reloaded(boolean taken) {
+        reloadsTaken += taken ? 1 : 0;
+        reloadsTurnedDown += taken ? 0 : 1;
+    }
+
     @Override
     public void levelEntered(long now, String entered) {
         if (entered.equals(level)) {
@@ -129,6 +143,48 @@
         lateness.add(ns);
     }
 
+    /**
+     * The figures that the operators ask for by names of their own, one a line; docs/operations.md explains them.
+     * By hand, as Prometheus' writers would add an ending to each counter's name, and so that none is older than the
+     * answer.
+     */
+    String figures(NodeView view) {
+        StringBuilder out = new StringBuilder(64 * (classes.size() + 1) * Answer.values().length);
+        long current = 0;
+        for (Answer answer : Answer.values()) {
+            for (Map.Entry<String, ClassFigures> e : classes.entrySet()) {
+                out.append("app_").append(wordFor(answer)).append("{group=\"").append(escaped(e.getKey()))
+                        .append("\"} ").append(e.getValue().answers[answer.ordinal()]).append('\n');
+            }
+        }
+        for (ClassFigures figures : classes.values()) {
+            current += figures.atWork();
+        }
+        figure(out, "sends", attemptsSent);
+        figure(out, "current", current);
+        figure(out, "cluster_size", workers.size());
+        figure(out, "cluster_unhealthy", view.avoidedWorkers());
+        figure(out, "conf_loaded", reloadsTaken);
+        figure(out, "conf_invalid", reloadsTurnedDown);
+        return out.toString();
+    }
+
+    private static String wordFor(Answer answer) {
+        return switch (answer) {
+            case SERVED -> "answered";
+            case OVERLOAD -> "deferred";
+            case FAILED -> "errored";
+        };
+    }
+
+    private static String escaped(String label) {
+        return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+
+    private static void figure(StringBuilder out, String name, long value) {
+        out.append("app_").append(name).append(' ').append(value).append('\n');
+    }
+
     Snapshot snapshot(NodeView view) {
         Map<String, Long> changes = new LinkedHashMap<>();
         view.levels().forEach(name -> changes.put(name, 0L));
--- a/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
@@ -27,23 +27,28 @@
 import trailthread.BalancerApi.RequestClass;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeControl;
 import trailthread.engine.meter.NodeView;
 
 /**
- * Tells operators of the node over HTTP: {@code /metrics} for Prometheus, {@code /status} in JSON,
- * {@code /ready}. It runs on the node's loop beside the calls, and takes little of it whatever its clients
- * do. A node whose operators want nothing makes none, and then loads no class of this package.
+ * The operators' door to the node, over HTTP: under {@code /-/} what they do to it and the figures that they ask for
+ * by names of their own; {@code /metrics} for Prometheus, {@code /status} in JSON, {@code /ready}. It runs on the
+ * node's loop beside the calls, and takes little of it whatever its clients do.
+ * A node whose operators want nothing makes none, and then loads no class of this package.
  */
 public final class OperatorEndpoint {
     private static final Logger LOG = LoggerFactory.getLogger(OperatorEndpoint.class);
     private static final int MOST_HEADER_BYTES = 8 * 1024;
     private static final int MOST_HEADERS = 64;
-    private static final int BACKLOG = 16;
+    private static final int MOST_BODY_BYTES = 4 * 1024;
+    private static final int BACKLOG = 64;
+    private static final String OWN_PATHS = "/-/";
     private static final long LATENESS_EVERY_NS = 100_000_000L;
 
     private final Loop loop;
     private final Limits limits;
     private final NodeView view;
+    private final NodeControl control;
     private final NodeMetrics metrics;
     private final Bodies bodies;
     private final OperatorConnections connections;
@@ -52,14 +57,16 @@
     private boolean closed;
 
     /** Makes one that counts, and listens nowhere as yet. */
-    public OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view) {
-        this(loop, name, classes, view, Limits.USUAL);
+    public OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view, NodeControl control) {
+        this(loop, name, classes, view, control, Limits.USUAL);
     }
 
-    OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view, Limits limits) {
+    OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view, NodeControl control,
+                     Limits limits) {
         this.loop = loop;
         this.limits = limits;
         this.view = view;
+        this.control = control;
         metrics = new NodeMetrics(classes.stream().map(RequestClass::name).toList());
         String version = OperatorEndpoint.class.getPackage().getImplementationVersion();
         bodies = new Bodies(loop, name, version == null ? "unknown" : version, limits.freshNs(),
@@ -99,12 +106,11 @@
                     .set(Options.CONNECTION_LOW_WATER, limits.connections() + 1)
                     .getMap());
         } catch (IOException | UnresolvedAddressException e) {
-            throw new BindException("operator.listen: " + address + ": " + e.getMessage());
+            throw new BindException("management: " + address + ": " + e.getMessage());
         }
         server.resumeAccepts();
         loop.execute(() -> {
             watchLateness();
-            bodies.tryAll();
         });
         InetSocketAddress bound = server.getLocalAddress(InetSocketAddress.class);
         LOG.info("operators are told on {}", bound);
@@ -160,6 +166,13 @@
             connections.ended(connection, loop.now());
             next.proceed();
         });
+        if (exchange.getRequestPath().startsWith(OWN_PATHS)) {
+            exchange.setPersistent(false); // one call to a connection
+            exchange.getRequestReceiver().setMaxBufferSize(MOST_BODY_BYTES);
+            exchange.getRequestReceiver().receiveFullBytes((whole, body) -> own(whole),
+                    (spoilt, e) -> end(spoilt, StatusCodes.BAD_REQUEST));
+            return;
+        }
         if (!exchange.isRequestComplete()) { // no request here has a body: what follows can't be trusted
             Connectors.terminateRequest(exchange);
             exchange.setPersistent(false);
@@ -171,6 +184,26 @@
                 () -> loop.after(answerAt - now, () -> answer(exchange)));
     }
 
+    /** What the operators ask for under names of their own: here whole, so that half a call does nothing. */
+    private void own(HttpServerExchange exchange) {
+        String what = exchange.getRequestMethod() + " " + exchange.getRequestPath().substring(OWN_PATHS.length());
+        switch (what) {
+            case "GET ready" -> end(exchange, yesOrNo(view.isReady()));
+            case "POST drain" -> end(exchange, yesOrNo(control.drain()));
+            case "POST resume" -> end(exchange, yesOrNo(control.resume()));
+            case "GET metrics" -> {
+                exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
+                exchange.getResponseSender().send(metrics.figures(view));
+            }
+            case "GET status" -> bodies.ask(Bodies.Form.JSON, body -> tell(exchange, Bodies.Form.JSON, body));
+            default -> end(exchange, StatusCodes.NOT_FOUND);
+        }
+    }
+
+    private static int yesOrNo(boolean yes) {
+        return yes ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE;
+    }
+
     private void answer(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         boolean known = path.equals("/metrics") || path.equals("/status") || path.equals("/ready");
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -15,12 +15,14 @@
 import trailthread.configuration.Fault;
 import trailthread.configuration.OperatorFile;
 import trailthread.configuration.OperatorFileReader;
+import trailthread.daemon.Drain;
 import trailthread.daemon.PlannedEnd;
 import trailthread.daemon.acceptor.Acceptor;
 import trailthread.daemon.acceptor.ServiceFront;
 import trailthread.daemon.operator.OperatorEndpoint;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.NodeControl;
 import trailthread.engine.meter.NodeView;
 import trailthread.engine.pool.Pool;
 import trailthread.engine.pool.PoolConfig;
@@ -30,7 +32,7 @@
 import trailthread.engine.worker.Workers;
 
 /** A node with several services, by an operator's file: its pools, the routes to them, their reload. */
-public final class ServiceNode implements NodeView {
+public final class ServiceNode implements NodeView, NodeControl {
     private static final Logger LOG = LoggerFactory.getLogger(ServiceNode.class);
     private static final int OWN_DESCRIPTORS = 48;
     private static final double CLIENTS_SHARE = 0.6;
@@ -49,6 +51,7 @@
     private final Shares shares;
     private final SplittableRandom random;
     private final Acceptor acceptor;
+    private final Drain drain;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final String idPrefix;
     private long lastId;
@@ -61,13 +64,14 @@
         random = new SplittableRandom(file.seed() == null ? new SecureRandom().nextLong() : file.seed());
         idPrefix = Long.toHexString(new SecureRandom().nextLong()) + "-";
         operator = file.operatorListen() == null ? null
-                : new OperatorEndpoint(loop, file.name(), classes(file.services()), this);
+                : new OperatorEndpoint(loop, file.name(), classes(file.services()), this, this);
         meter = operator == null ? Meter.OFF : operator.meter();
         ServicesConfig services = file.services();
         shares = new Shares(loop, services.calls(), services.connections(), services.bodyBytes());
         int forClients = (int) (CLIENTS_SHARE * (file.descriptors() - OWN_DESCRIPTORS));
         acceptor = new Acceptor(loop, forClients, (int) (forClients / FULL_SHARE),
                 new ServiceFront(new RouteTable(List.of()), Map.of(), this::newId), meter);
+        drain = new Drain(loop, acceptor);
     }
 
     private static List<RequestClass> classes(ServicesConfig services) {
@@ -108,6 +112,7 @@
             }
             if (result.read() == null) {
                 LOG.error("{} is not taken over: {} faults", path, result.faults().size());
+                loop.execute(() -> meter.reloaded(false));
                 return;
             }
             loop.execute(() -> takeOver(result.read()));
@@ -121,6 +126,7 @@
                 && now.bodyBytes() == then.bodyBytes();
         if (!same) {
             LOG.error("{} is not taken over: descriptors and body_memory take a restart", path);
+            meter.reloaded(false);
             return;
         }
         if (!next.listen().equals(file.listen()) || !next.name().equals(file.name())
@@ -128,6 +134,7 @@
             LOG.warn("{}: name and listen wait for the next start", path);
         }
         apply(next);
+        meter.reloaded(true);
     }
 
     /** Between two calls: pools that did not change stay as they are, the rest begins or ends, routes go over. */
@@ -173,7 +180,7 @@
     public void stop() throws InterruptedException {
         long longestNs = file.services().pools().stream().flatMap(pool -> pool.classes().stream())
                 .mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
-        PlannedEnd.await(loop, acceptor, file.name(), longestNs);
+        PlannedEnd.await(loop, acceptor, drain, file.name(), longestNs);
     }
 
     // ---- what it says of itself --------------------------------------------------------------------
@@ -210,6 +217,21 @@
         return sums;
     }
 
+    @Override
+    public int avoidedWorkers() {
+        return pools.values().stream().mapToInt(Pool::avoidedWorkers).sum();
+    }
+
+    @Override
+    public boolean drain() {
+        return drain.drain();
+    }
+
+    @Override
+    public boolean resume() {
+        return drain.resume();
+    }
+
     @Override
     public int descriptorLimit() {
         return file.descriptors();
--- a/daemon/src/test/java/trailthread/daemon/operator/View.java
+++ b/daemon/src/test/java/trailthread/daemon/operator/View.java
@@ -36,6 +36,11 @@
         return Map.of("idle", 1);
     }
 
+    @Override
+    public int avoidedWorkers() {
+        return 7;
+    }
+
     @Override
     public int descriptorLimit() {
         return 1024;
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -126,7 +126,7 @@
     private final Map<Long, Double> keySeen = new LinkedHashMap<>();
     private double keysSeen;
     private final Rate served, askedWorth;
-    private final long tightestAim, longestDeadline;
+    private long tightestAim = Long.MAX_VALUE, longestDeadline;
     private final double floorMemory, finest;
     private double retryTokens = RETRY_SAVED;
     /** Means of this node's requests; the aim by worth. */
@@ -142,19 +142,15 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        long longest = 0;
-        long tightest = Long.MAX_VALUE;
         for (RequestClass c : settings.classes) {
-            longest = Math.max(longest, c.deadlineNs());
-            tightest = Math.min(tightest, Math.max(settings.tickNs, c.aimNs()));
-        }
-        tightestAim = tightest;
-        meanAim = tightest;
-        longestDeadline = longest;
-        Arrays.fill(notedAt, now - longest);
-        floorMemory = FLOOR_MEMORY * longest;
+            longestDeadline = Math.max(longestDeadline, c.deadlineNs());
+            tightestAim = Math.min(tightestAim, Math.max(settings.tickNs, c.aimNs()));
+        }
+        meanAim = tightestAim;
+        Arrays.fill(notedAt, now - longestDeadline);
+        floorMemory = FLOOR_MEMORY * longestDeadline;
         finest = settings.finestNs();
-        long memory = (long) (GOAL_MEMORY * longest);
+        long memory = (long) (GOAL_MEMORY * longestDeadline);
         askedWorth = new Rate(memory, now);
         for (RequestClass c : settings.classes) {
             classes.put(c.name(), new Party(c, null, memory, settings.fallNs, now));
@@ -1063,6 +1059,12 @@
         actions.timer(jittered(share * settings.askEveryNs), (askSerial << TIMER_BITS) | TIMER_ASK);
     }
 
+    /** How many of the list are not drawn for now: they drain, are ejected or rest. */
+    public int avoided() {
+        return (int) listed.stream().filter(b -> b.state != State.READY || b.failures >= EJECT_AFTER
+                || b.rests > 0).count();
+    }
+
     // ---- what is known -----------------------------------------------------------------------------
 
     /** One client request and its attempts. */
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -61,7 +61,7 @@
             return;
         }
         long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
-        delegation = calls.workers().delegate(worker, request, wait, ending -> {
+        delegation = calls.workers().delegate(worker, request, wait, calls.meter()::attemptSent, ending -> {
             delegation = null;
             outcome(worker, attempt, ending);
         });
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -28,6 +28,7 @@
     private final Workers workers;
     private final Meter meter;
     private final Decisions decisions;
+    private final Balancer module;
     private final Map<Long, Call> calls = new HashMap<>();
     /** The clients' ids of these. Workers tell copies of a call by its id. */
     private final Set<String> openIds = new HashSet<>();
@@ -48,7 +49,8 @@
         this.answerSlackNs = settings.answerSlackNs;
         this.probeWithinNs = settings.classes.stream().mapToLong(RequestClass::aimNs).min().orElseThrow();
         decisions = new Decisions(loop::now);
-        decisions.setModule(new Balancer(settings, seed, loop.now(), decisions.queueing(this)));
+        module = new Balancer(settings, seed, loop.now(), decisions.queueing(this));
+        decisions.setModule(module);
     }
 
     /** Where the module's wishes about the list go; without one they are let be. */
@@ -79,6 +81,11 @@
         decisions.event(null, (module, now) -> module.admit(admission));
     }
 
+    /** How many of the listed workers the module avoids just now. */
+    public int avoidedWorkers() {
+        return module.avoided();
+    }
+
     /** Brings the module news of the workers. */
     public void list(ListKind kind, List<Entry> entries) {
         decisions.event(null, (module, now) -> module.list(now, kind, entries));
--- a/engine/src/main/java/trailthread/engine/http/AnswerListener.java
+++ b/engine/src/main/java/trailthread/engine/http/AnswerListener.java
@@ -5,6 +5,10 @@
 
 /** Hears one answer as it comes: its head, its body in pieces, and its end or that there will be none. */
 public interface AnswerListener {
+    /** The request's last byte has been written. */
+    default void sent() {
+    }
+
     /** The head has come whole; interim ones (1xx) are not told of. */
     void head(int status, HeaderMap headers);
 
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -147,6 +147,9 @@
                 }
             }
             sink.suspendWrites();
+            if (listener != null && unsent != null) {
+                listener.sent();
+            }
         } catch (IOException e) {
             fail("breaks while the request is sent");
         }
--- a/engine/src/main/java/trailthread/engine/meter/Meter.java
+++ b/engine/src/main/java/trailthread/engine/meter/Meter.java
@@ -31,6 +31,9 @@
     /** An attempt is to be made at a worker; its end follows, once. */
     void attemptBegun(String worker);
 
+    /** An attempt's last byte has been written to its worker. */
+    void attemptSent();
+
     /**
      * An attempt has ended.
      *
@@ -49,6 +52,9 @@
     /** News of the workers, as the decision module gets it. */
     void listed(ListKind kind, List<Entry> entries);
 
+    /** A configuration was read at a reload, and was taken over or not. */
+    void reloaded(boolean taken);
+
     /**
      * The node serves at this level from now on; the level it has already changes nothing.
      *
--- a/engine/src/main/java/trailthread/engine/meter/NoMeter.java
+++ b/engine/src/main/java/trailthread/engine/meter/NoMeter.java
@@ -28,6 +28,10 @@
     public void attemptBegun(String worker) {
     }
 
+    @Override
+    public void attemptSent() {
+    }
+
     @Override
     public void attemptEnded(String worker, Outcome outcome, long latencyNs, Load load) {
     }
@@ -40,6 +44,10 @@
     public void listed(ListKind kind, List<Entry> entries) {
     }
 
+    @Override
+    public void reloaded(boolean taken) {
+    }
+
     @Override
     public void levelEntered(long now, String level) {
     }
--- a/engine/src/main/java/trailthread/engine/meter/NodeView.java
+++ b/engine/src/main/java/trailthread/engine/meter/NodeView.java
@@ -20,6 +20,9 @@
     /** How many connections to workers there are in each state; each is in one. */
     Map<String, Integer> workerConnections();
 
+    /** How many of the listed workers the node avoids just now. */
+    int avoidedWorkers();
+
     /** How many file descriptors the node may hold. */
     int descriptorLimit();
 }
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -136,6 +136,11 @@
         return workers.connections();
     }
 
+    /** How many of its workers are avoided just now. */
+    public int avoidedWorkers() {
+        return atWork.avoidedWorkers();
+    }
+
     /** How many calls it has open. */
     public long open() {
         return calls.holds();
--- a/engine/src/main/java/trailthread/engine/pool/PoolMeter.java
+++ b/engine/src/main/java/trailthread/engine/pool/PoolMeter.java
@@ -48,6 +48,11 @@
         operators.attemptBegun(prefix + worker);
     }
 
+    @Override
+    public void attemptSent() {
+        operators.attemptSent();
+    }
+
     @Override
     public void attemptEnded(String worker, Outcome outcome, long latencyNs, Load load) {
         operators.attemptEnded(prefix + worker, outcome, latencyNs, load);
@@ -89,6 +94,11 @@
                 entry.cell());
     }
 
+    @Override
+    public void reloaded(boolean taken) {
+        operators.reloaded(taken);
+    }
+
     @Override
     public void levelEntered(long now, String level) {
         operators.levelEntered(now, level);
--- a/engine/src/main/java/trailthread/engine/service/Service.java
+++ b/engine/src/main/java/trailthread/engine/service/Service.java
@@ -177,6 +177,11 @@
         next.attemptBegun(worker);
     }
 
+    @Override
+    public void attemptSent() {
+        next.attemptSent();
+    }
+
     @Override
     public void attemptEnded(String worker, Outcome outcome, long latencyNs, Load load) {
         failing.ended(worker, outcome, latencyNs, loop.now());
@@ -190,6 +195,11 @@
         next.probed(worker, outcome, load);
     }
 
+    @Override
+    public void reloaded(boolean taken) {
+        next.reloaded(taken);
+    }
+
     @Override
     public void listed(ListKind kind, List<Entry> entries) {
         failing.listed(kind, entries);
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -26,6 +26,7 @@
     private final Connections connections;
     private final Worker worker;
     private final WorkerRequest request;
+    private final Runnable sent;
     private final Consumer<Ending> ended;
     private final long startedAt;
     private final long endsAt;
@@ -43,11 +44,12 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
 
     Delegation(Loop loop, Connections connections, Worker worker, WorkerRequest request, long timeoutNs,
-               Consumer<Ending> ended) {
+               Runnable sent, Consumer<Ending> ended) {
         this.loop = loop;
         this.connections = connections;
         this.worker = worker;
         this.request = request;
+        this.sent = sent;
         this.ended = ended;
         startedAt = loop.now();
         endsAt = startedAt + timeoutNs;
@@ -127,6 +129,11 @@
         return connection != null && connection.isSent();
     }
 
+    @Override
+    public void sent() {
+        sent.run();
+    }
+
     @Override
     public void head(int status, HeaderMap headers) {
         answer = WorkerAnswer.decode(status, headers);
--- a/testkit/src/main/java/trailthread/testkit/Stage.java
+++ b/testkit/src/main/java/trailthread/testkit/Stage.java
@@ -23,6 +23,8 @@
 public final class Stage {
     private static final Pattern SERVES = Pattern.compile("serves on .*:(\\d+)");
 
+    private static final Pattern DOOR = Pattern.compile("operators are told on .*:(\\d+)");
+
     /** The settings of the tests: generous times, so that a slow machine changes no verdict. */
     public static final String SETTINGS = """
             "categories":[
@@ -157,6 +159,17 @@
         return Message.read(client);
     }
 
+    /** Makes a call at the operators' door. */
+    public Message manage(String method, String path) throws IOException, InterruptedException {
+        Matcher at = DOOR.matcher(logged("operators are told on"));
+        assertTrue(at.find());
+        try (Socket operator = new Socket(InetAddress.getLoopbackAddress(), Integer.parseInt(at.group(1)))) {
+            operator.setSoTimeout(1000 * Peer.LONGEST_WAIT_S);
+            Message.send(operator, method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+            return Message.read(operator);
+        }
+    }
+
     /** A well-formed call of a class with a query and further headers, under an id of its own. */
     public static String request(String requestClass, String query, String headers) {
         boolean safe = requestClass.equals("state");
