Take over the clients' socket that the platform holds, beside the old process

The socket is taken by System.inheritedChannel, and XNIO's own server put on it (GivenTcpServer), so that caps and the hand-over of connections stay one mechanism. The node warms up on a private address: calls to itself over the shared socket might reach the old process, and workers through it. It accepts, and says yes, once it is warm. At SIGTERM a node that shares its socket stops accepting at once and ends connections with answers from then on.

Ruled out: SO_REUSEPORT (connections that wait at the old socket are reset), closing the given channel at the end (Java then closes the log with it).

--- a/daemon/src/main/java/trailthread/daemon/Main.java
+++ b/daemon/src/main/java/trailthread/daemon/Main.java
@@ -4,6 +4,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.net.BindException;
+import java.nio.channels.ServerSocketChannel;
 import trailthread.adapter.Adapter;
 
 /** Starts the program: {@code serve}, a real node; {@code adapter}, the module on the simulator's wire. */
@@ -34,8 +35,9 @@
         Lifecycle.startLean();
         try {
             Node node = new Node(NodeConfig.load(System.getenv()));
+            ServerSocketChannel given = GivenSocket.of(System.getenv());
             Lifecycle.onHangup(() -> node.reload(System.getenv()));
-            node.start();
+            node.start(given);
             Lifecycle.onTerminate(node::stop);
         } catch (ConfigException e) {
             System.err.println("trailthread: " + e.getMessage());
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -1,7 +1,9 @@
 package trailthread.daemon;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -84,29 +86,46 @@
         return new PlatformFront(config.settings().classes, taker);
     }
 
-    /** Opens the clients' address and serves from then on. */
-    void start() throws IOException {
+    /**
+     * Opens the clients' address and serves from then on.
+     *
+     * @param given the clients' socket, already listening and shared with other processes; null: it is opened here
+     */
+    void start(ServerSocketChannel given) throws IOException {
         if (operator != null) {
             operator.listen(config.management());
         }
-        InetSocketAddress address = acceptor.listen(config.listen());
+        // On a shared socket the node's calls to itself could reach another process, and workers through it.
+        InetSocketAddress self = acceptor.listen(given == null ? config.listen()
+                : new InetSocketAddress(config.listen().getAddress(), 0));
         loop.execute(() -> {
             roster.known(config.known());
             list(ListKind.CACHED, config.known());
             WarmUp warmUp = new WarmUp(loop, config, calls);
             acceptor.setFront(front(warmUp));
-            warmUp.start(address, askAround(warmUp), () -> {
+            warmUp.start(self, askAround(warmUp), given != null, () -> {
                 acceptor.setFront(front(calls));
+                if (given != null) {
+                    share(given);
+                }
                 acceptor.setReady(true);
                 if (service != null) {
                     calls.setProbes(service::probes);
                     service.start(this::descriptors, calls::admit);
                 }
-                LOG.info("{} serves on {}", config.name(), address);
+                LOG.info("{} serves on {}", config.name(), given == null ? self : config.listen());
             });
         });
     }
 
+    private void share(ServerSocketChannel given) {
+        try {
+            acceptor.share(given);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Asks some workers for their load, if it may; whether it does. */
     private boolean askAround(WarmUp warmUp) {
         List<String> some = config.known().instances().stream()
--- a/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
+++ b/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
@@ -37,7 +37,9 @@
             LOG.info("{} stops", name);
             drain.end();
             acceptor.setReady(false);
-            loop.after(SERVES_ON_NS - LAST_ANSWERS_NS, () -> acceptor.endWithAnswers(true));
+            // Where another process accepts for this one, clients that are sent away meet it at once.
+            long servesOnNs = acceptor.leavesToOthers() ? LAST_ANSWERS_NS : SERVES_ON_NS;
+            loop.after(servesOnNs - LAST_ANSWERS_NS, () -> acceptor.endWithAnswers(true));
             loop.after(SERVES_ON_NS, () -> acceptor.close(done::countDown));
         });
         done.await(SERVES_ON_NS + longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -71,6 +71,7 @@
     private long startedAt;
     private long endsAt;
     private boolean hurried;
+    private boolean patient;
     private int count;
 
     WarmUp(Loop loop, NodeConfig config, CallTaker real) {
@@ -86,12 +87,14 @@
     /**
      * Makes calls to the node's own address for a while.
      *
-     * @param asked whether workers are asked for their load meanwhile, see {@link #told}
+     * @param asked   whether workers are asked for their load meanwhile, see {@link #told}
+     * @param patient whether another process of this node serves its clients meanwhile: nothing is in a hurry then
      */
-    void start(InetSocketAddress self, boolean asked, Runnable whenDone) {
+    void start(InetSocketAddress self, boolean asked, boolean patient, Runnable whenDone) {
         done = whenDone;
+        this.patient = patient;
         startedAt = loop.now();
-        endsAt = startedAt + (asked ? LONGEST_NS : UNKNOWING_NS);
+        endsAt = startedAt + (asked || patient ? LONGEST_NS : UNKNOWING_NS);
         String hostPort = self.getAddress().getHostAddress() + ":" + self.getPort();
         workers.update(new RosterUpdate(0, true, List.of(new RosterEntry(SELF, hostPort,
                 config.settings().zone, 0, State.READY, 1, 0))), loop.now());
@@ -102,6 +105,9 @@
 
     /** A worker has told its load, or none (null): one that holds requests says that the fleet is at work. */
     void told(Load load) {
+        if (patient) {
+            return;
+        }
         if (load == null) {
             endsAt = Math.min(endsAt, startedAt + UNKNOWING_NS);
         } else if (load.inflight() > 0 || load.queue() > 0) {
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -9,6 +9,7 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,6 +20,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.GivenTcpServer;
 import trailthread.daemon.acceptor.Front.Incoming;
 import trailthread.engine.call.ClientCall;
 import trailthread.engine.loop.Loop;
@@ -41,6 +43,8 @@
     private final Meter meter;
     private Front front;
     private AcceptingChannel<StreamConnection> server;
+    /** Other processes hold the listening socket, too. */
+    private boolean shared;
     private boolean ready;
     private boolean drained;
     private boolean closing;
@@ -58,8 +62,43 @@
         this.front = front;
     }
 
-    /** Opens the clients' address, and says which. */
+    /** Opens an address for clients, and says which. */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        server = loop.worker().createStreamConnectionServer(address, accept(), options());
+        server.resumeAccepts();
+        return server.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /**
+     * Accepts from a listening socket that other processes hold, too, in place of the address opened before. It is
+     * never closed here: with the one that the process was given, Java would close its log.
+     */
+    public void share(ServerSocketChannel given) throws IOException {
+        IoUtils.safeClose(server);
+        server = GivenTcpServer.on(given, loop.worker(), accept(), options());
+        shared = true;
+        server.resumeAccepts();
+    }
+
+    /** If others accept from the same socket, leaves all further connections to them; whether it does. */
+    public boolean leavesToOthers() {
+        if (shared) {
+            server.suspendAccepts();
+        }
+        return shared;
+    }
+
+    private OptionMap options() {
+        return OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, BACKLOG)
+                .set(Options.CONNECTION_HIGH_WATER, mostConnections)
+                .set(Options.CONNECTION_LOW_WATER, mostConnections)
+                .getMap();
+    }
+
+    private ChannelListener<AcceptingChannel<StreamConnection>> accept() {
         HttpOpenListener http = new HttpOpenListener(loop.buffers(), OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER_BYTES)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
@@ -67,18 +106,7 @@
                 .set(UndertowOptions.DECODE_URL, false)
                 .getMap());
         http.setRootHandler(this::handle);
-        ChannelListener<AcceptingChannel<StreamConnection>> accept =
-                ChannelListeners.openListenerAdapter(
-                        connection -> loop.run(() -> opened(connection, http)));
-        server = loop.worker().createStreamConnectionServer(address, accept, OptionMap.builder()
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.REUSE_ADDRESSES, true)
-                .set(Options.BACKLOG, BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, mostConnections)
-                .set(Options.CONNECTION_LOW_WATER, mostConnections)
-                .getMap());
-        server.resumeAccepts();
-        return server.getLocalAddress(InetSocketAddress.class);
+        return ChannelListeners.openListenerAdapter(connection -> loop.run(() -> opened(connection, http)));
     }
 
     private void opened(StreamConnection connection, HttpOpenListener http) {
@@ -132,7 +160,9 @@
         // runs late as well: with the listening socket, their connections would be reset.
         boolean late = loop.turns().latenessNs(System.nanoTime()) > LATE_NS;
         loop.after(late ? ACCEPTED_WITHIN_NS : 0, () -> {
-            IoUtils.safeClose(server);
+            if (!leavesToOthers()) {
+                IoUtils.safeClose(server);
+            }
             // What the thread that accepts has handed over last is not opened here yet.
             loop.after(HANDED_OVER_WITHIN_NS, () -> loop.afterSockets(() -> {
                 closing = true;
--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/NewVersionTest.java
@@ -0,0 +1,103 @@
+package trailthread.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Test;
+import trailthread.testkit.Holder;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
+
+/** A process takes the place of another on the socket that both were given, and no call is lost. */
+public class NewVersionTest {
+    private static final String SERVES = "serves on";
+    private static final int CALLS = 50;
+
+    private final Stage stage = new Stage();
+    private final Holder holder = stage.add(new Holder());
+    private final Path config = Files.createTempFile("trailthread", ".json");
+
+    public NewVersionTest() throws Exception {
+        stage.port = holder.port;
+    }
+
+    @After
+    public void end() throws Exception {
+        stage.end();
+        Files.delete(config);
+    }
+
+    private long start() throws Exception {
+        return holder.start("LB_MANAGEMENT=127.0.0.1:0 LB_CONFIG=" + config, List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "-Xmx64m", "trailthread.daemon.Main", "serve"));
+    }
+
+    @Test
+    public void theOldOneEndsItsCallsAndTheNewOneTakesAllFurtherOnes() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        Peer worker = stage.add(new Peer(request -> {
+            try {
+                boolean held = request.start().startsWith("POST /use");
+                assertTrue(!held || answer.await(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+            request.answer("200 OK", "", "made");
+        }));
+        Files.writeString(config, stage.config(Stage.SETTINGS, worker));
+        long old = start();
+        holder.logged(SERVES, 1);
+        Socket atWork = stage.connect();
+        Message.send(atWork, Stage.request("use", "", ""));
+        Socket idle = stage.connect();
+        Message.send(idle, Stage.request("state", "", ""));
+        assertEquals("made", Message.read(idle).body());
+        start();
+        holder.logged(SERVES, 2);
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
+            try {
+                Holder.terminate(old);
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+        for (int i = 0; i < CALLS; i++) {
+            assertEquals("made", stage.call("state").body());
+        }
+        assertEquals("idle connections are closed", -1, idle.getInputStream().read());
+        answer.countDown();
+        Message served = Message.read(atWork);
+        assertEquals("made", served.body());
+        assertEquals("close", served.header("Connection"));
+        ended.get(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS);
+        assertEquals("made", stage.call("state").body());
+        assertEquals("workers heard of clients' calls alone", CALLS + 3, worker.requests.size());
+    }
+
+    @Test
+    public void whatIsNoListeningSocketIsNamed() throws Exception {
+        for (String told : List.of("0", "3", "x")) {
+            Files.writeString(config, stage.config(Stage.SETTINGS));
+            ProcessBuilder builder = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "trailthread.daemon.Main", "serve")
+                    .redirectInput(Path.of("/dev/null").toFile()).redirectErrorStream(true);
+            builder.environment().put("LB_CONFIG", config.toString());
+            builder.environment().put("LB_SOCKET_FD", told);
+            Process refused = builder.start();
+            String said = new String(refused.getInputStream().readAllBytes());
+            assertEquals(2, refused.waitFor());
+            assertTrue(said, said.startsWith("trailthread: LB_SOCKET_FD: ") && said.lines().count() == 1);
+        }
+    }
+}
