--- a/testkit/src/main/java/trailthread/testkit/Holder.java
+++ b/testkit/src/main/java/trailthread/testkit/Holder.java
@@ -14,8 +14,8 @@
 import java.util.stream.Collectors;
 
 /**
- * Holds a listening socket on loopback that each program it starts inherits as descriptor 0. In Perl, which every Debian
- * has: Java can hand no socket of its own to another process.
+ * Holds a listening socket on loopback that each program it starts inherits as descriptor 0. In Perl, which every
+ * Debian has: Java can hand no socket of its own to another process.
  */
 public final class Holder implements Closeable {
     private static final String SCRIPT = """
