Take over new settings at SIGHUP in the module that runs, or nothing of a broken file

Need: the operators retune nodes in service.

Balancer.retune takes other settings: what it knows of workers stays, classes of the same rules keep what they were served, requests keep their class, and the bound on attempts holds for all at once. The front, the connections' times and the figures follow. A file counts as a whole: besides the parser's checks it may not lack a key that the file in force has (FileKeys), nor have anything after its end. Whole numbers may be told with decimals. `avoided` no longer counts workers that are tried all the same, as most fail.

Ruled out: a second module beside the old one: it would forget every latency and cold budget.

--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -17,7 +17,6 @@
 import trailthread.daemon.acceptor.Acceptor;
 import trailthread.daemon.acceptor.PlatformFront;
 import trailthread.daemon.operator.OperatorEndpoint;
-import trailthread.engine.call.CallTaker;
 import trailthread.engine.call.Calls;
 import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
@@ -51,6 +50,7 @@
     private final Loop loop;
     private final Workers workers;
     private final Calls calls;
+    private final PlatformFront front;
     private final Roster roster;
     private final Acceptor acceptor;
     private final Drain drain;
@@ -77,15 +77,12 @@
         calls = new Calls(loop, workers, config.settings(), config.seed(), meter);
         roster = new Roster(loop, config.discovery(), this);
         calls.setRoster(roster);
+        front = new PlatformFront(config.settings().classes, calls);
         acceptor = new Acceptor(loop, forClients, Math.min(forClients, (int) (CALLERS_SHARE * config.sockets())),
-                front(calls), meter);
+                front, meter);
         drain = new Drain(loop, acceptor);
     }
 
-    private PlatformFront front(CallTaker taker) {
-        return new PlatformFront(config.settings().classes, taker);
-    }
-
     /**
      * Opens the clients' address and serves from then on.
      *
@@ -102,9 +99,9 @@
             roster.known(config.known());
             list(ListKind.CACHED, config.known());
             WarmUp warmUp = new WarmUp(loop, config, calls);
-            acceptor.setFront(front(warmUp));
+            acceptor.setFront(new PlatformFront(config.settings().classes, warmUp));
             warmUp.start(self, askAround(warmUp), given != null, () -> {
-                acceptor.setFront(front(calls));
+                acceptor.setFront(front);
                 if (given != null) {
                     share(given);
                 }
@@ -140,18 +137,16 @@
     }
 
     /**
-     * Takes over where discovery is now; list, connections and calls stay. What the file says of all else
-     * waits for the next start. The file is read beside the loop, one reading after another.
+     * Takes over settings and where discovery is now, if the file is of use as a whole; list, connections and calls
+     * stay. What the file says of all else waits for the next start. It is read beside the loop, one reading after
+     * another.
      */
     void reload(Map<String, String> environment) {
         loop.worker().execute(() -> {
             try {
-                config = config.reload(environment);
-                InetSocketAddress discovery = config.discovery();
-                loop.execute(() -> {
-                    roster.move(discovery);
-                    meter.reloaded(true);
-                });
+                NodeConfig now = config.reload(environment);
+                config = now;
+                loop.execute(() -> takeOver(now));
             } catch (ConfigException e) {
                 LOG.error("configuration not taken over: {}", e.getMessage());
                 loop.execute(() -> meter.reloaded(false));
@@ -159,6 +154,19 @@
         });
     }
 
+    private void takeOver(NodeConfig now) {
+        roster.move(now.discovery());
+        calls.retune(now.settings());
+        workers.retune(now.settings().connectTimeoutNs, now.idleCloseNs(), now.drainGraceNs());
+        front.retune(now.settings().classes);
+        if (operator != null) {
+            operator.serves(now.settings().classes);
+        }
+        meter.reloaded(true);
+        LOG.info("configuration taken over: {} classes, {} attempts at most", now.settings().classes.size(),
+                now.settings().maxAttempts);
+    }
+
     /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     void stop() throws InterruptedException {
         PlannedEnd.await(loop, acceptor, drain, config.name(),
--- a/daemon/src/main/java/trailthread/daemon/NodeConfig.java
+++ b/daemon/src/main/java/trailthread/daemon/NodeConfig.java
@@ -29,10 +29,11 @@
  * @param drainGraceNs how long after the news of a drain something new may still be sent
  * @param management   where operators ask and steer the node, or null: nowhere
  * @param levels       levels of service, or null: none
+ * @param keys         those that the file has
  */
 record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, String told, long seed,
                   int sockets, RosterUpdate known, Settings settings, long idleCloseNs, long drainGraceNs,
-                  InetSocketAddress management, LevelsConfig levels) {
+                  InetSocketAddress management, LevelsConfig levels, FileKeys keys) {
     private static final String FILE = "LB_CONFIG";
     private static final int DEFAULT_SOCKETS = 1024;
     /** The virtual machine alone holds some thirty. */
@@ -51,17 +52,22 @@
     }
 
     /**
-     * Reads the file again, for where discovery is now. Once the file names another one, that goes before
-     * LB_DISCOVERY: nobody can change the variables of a program that runs.
+     * Reads the file again, for the settings and for where discovery is now. Once the file names another one, that
+     * goes before LB_DISCOVERY: nobody can change the variables of a program that runs. A file that lacks what the one
+     * before had is one that was cut short or written by half, and of no use.
      *
      * @throws ConfigException if the file is of no use; what was read before stands
      */
     NodeConfig reload(Map<String, String> environment) throws ConfigException {
         NodeConfig now = load(environment);
+        String lost = keys.lostIn(now.keys);
+        if (lost != null) {
+            throw new ConfigException(lost, "a value, as in the file before");
+        }
         boolean moves = !now.told.isEmpty() && !now.told.equals(told);
         return new NodeConfig(name, listen, moves ? address("discovery", now.told, 1) : discovery,
-                moves ? now.told : told, seed, sockets, known, settings, idleCloseNs, drainGraceNs,
-                management, levels);
+                moves ? now.told : told, seed, sockets, known, now.settings, now.idleCloseNs, now.drainGraceNs,
+                management, levels, now.keys);
     }
 
     static NodeConfig parse(Reader json, Map<String, String> environment) throws ConfigException {
@@ -75,12 +81,14 @@
         int sockets = DEFAULT_SOCKETS;
         RosterUpdate known = new RosterUpdate(0, true, List.of());
         SettingsParser settings = new SettingsParser("settings");
+        FileKeys keys = new FileKeys();
         String key = FILE;
         try (JsonReader in = new JsonReader(json)) {
             in.setStrictness(Strictness.STRICT);
             in.beginObject();
             while (in.hasNext()) {
                 key = in.nextName();
+                keys.add(key);
                 switch (key) {
                     case "name" -> name = in.nextString();
                     case "listen" -> listen = in.nextString();
@@ -102,11 +110,18 @@
                         levels = new HashMap<>();
                         flatten("", in, levels::put);
                     }
-                    case "settings" -> flatten("", in, settings::add);
+                    case "settings" -> flatten("", in, (path, value) -> {
+                        settings.add(path, value);
+                        keys.add("settings." + path);
+                    });
                     default -> in.skipValue();
                 }
             }
             in.endObject();
+            key = FILE;
+            if (in.peek() != JsonToken.END_DOCUMENT) {
+                throw new IOException("nothing after its end");
+            }
         } catch (IOException | IllegalStateException | NumberFormatException e) {
             throw new ConfigException(key, "JSON that can be used: " + firstLine(e));
         }
@@ -120,7 +135,7 @@
                     settings.whole("limits.idle_close_ns", DEFAULT_IDLE_CLOSE_NS),
                     settings.whole("safety.drain_grace_ns", DEFAULT_DRAIN_GRACE_NS),
                     management == null ? null : address(managementKey, management, 0),
-                    levels == null ? null : LevelsConfig.parse(levels, usable.classes));
+                    levels == null ? null : LevelsConfig.parse(levels, usable.classes), keys);
         } catch (IllegalArgumentException e) {
             throw new ConfigException(e);
         }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/PlatformFront.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/PlatformFront.java
@@ -12,7 +12,7 @@
 public final class PlatformFront implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformFront.class);
 
-    private final CallDecoder decoder;
+    private CallDecoder decoder;
     private final Taker taker;
 
     /** Makes one for these classes. */
@@ -21,6 +21,11 @@
         taker = Taker.of(calls);
     }
 
+    /** Takes calls of these classes from now on; those whose head has been read are taken as they are. */
+    public void retune(List<RequestClass> classes) {
+        decoder = new CallDecoder(classes);
+    }
+
     @Override
     public String readyPath() {
         return "/ready";
--- a/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
@@ -40,6 +40,11 @@
         classes.forEach(this::of);
     }
 
+    /** Tells of a class from now on, with noughts before its first call. */
+    void serves(String requestClass) {
+        of(requestClass);
+    }
+
     private ClassFigures of(String requestClass) {
         return classes.computeIfAbsent(requestClass, name -> new ClassFigures());
     }
--- a/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
@@ -74,6 +74,11 @@
         connections = new OperatorConnections(limits);
     }
 
+    /** The node serves these classes, too: they are told of before their first call. */
+    public void serves(List<RequestClass> classes) {
+        classes.forEach(c -> metrics.serves(c.name()));
+    }
+
     /** What the node tells of its events. */
     public Meter meter() {
         return metrics;
--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/RetuneTest.java
@@ -0,0 +1,123 @@
+package trailthread.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
+
+/** Settings that a file brings at SIGHUP: taken as a whole or not at all. */
+public class RetuneTest {
+    private static final String OTHERS = Stage.SETTINGS.replace("\"name\":\"use\"", "\"name\":\"study\"")
+            .replace("\"most_tries\":6", "\"most_tries\":1");
+
+    private final Stage stage;
+
+    public RetuneTest() throws Exception {
+        stage = new Stage();
+        stage.more = "\"management\":\"127.0.0.1:0\",";
+    }
+
+    @After
+    public void end() throws Exception {
+        stage.end();
+    }
+
+    private void awaitFigure(String line) throws Exception {
+        String figures = "";
+        for (int i = 0; i < 100 * Peer.LONGEST_WAIT_S; i++) {
+            figures = stage.manage("GET", "/-/metrics").body();
+            if (figures.contains(line + "\n")) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError(line + " in " + figures);
+    }
+
+    @Test
+    public void classesComeAndGoAndCallsUnderWayKeepTheirs() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        Peer worker = stage.add(new Peer(request -> {
+            try {
+                assertTrue(answer.await(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+            request.answer("200 OK", "", "made");
+        }));
+        stage.start(Stage.SETTINGS, worker);
+        assertEquals(400, stage.call("study").status());
+        Socket atWork = stage.connect();
+        Message.send(atWork, Stage.request("use", "", ""));
+        worker.asked();
+        Socket half = stage.connect();
+        String request = Stage.request("use", "", "");
+        Message.send(half, request.substring(0, request.length() - 2));
+        stage.call("none"); // the node has read what was sent before
+        stage.reload(stage.config(OTHERS, worker));
+        awaitFigure("app_conf_loaded 1");
+        awaitFigure("app_answered{group=\"study\"} 0");
+        assertEquals(400, stage.call("use").status());
+        Message.send(half, request.substring(request.length() - 2));
+        worker.asked();
+        answer.countDown();
+        assertEquals("made", Message.read(atWork).body());
+        assertEquals("made", Message.read(half).body());
+        assertEquals("made", stage.call("study").body());
+        awaitFigure("app_answered{group=\"use\"} 2");
+    }
+
+    @Test
+    public void fewerAttemptsHoldAtOnce() throws Exception {
+        Peer worker = stage.add(new Peer(request -> request.answer("500 Error", "", "")));
+        Peer other = stage.add(new Peer(request -> request.answer("500 Error", "", "")));
+        stage.start(Stage.SETTINGS, worker, other);
+        assertTrue("more than one attempt", stage.call("state").status() >= 500
+                && worker.requests.size() + other.requests.size() > 1);
+        stage.reload(stage.config(OTHERS, worker, other));
+        awaitFigure("app_conf_loaded 1");
+        int before = worker.requests.size() + other.requests.size();
+        stage.call("state");
+        assertTrue(worker.requests.size() + other.requests.size() - before <= 1);
+    }
+
+    @Test
+    public void nothingIsTakenFromABrokenFile() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        String good = stage.config(OTHERS, worker);
+        String[] broken = {
+            "", "{", good.substring(0, good.length() - 1), good.substring(0, good.length() / 2), good + "}",
+            good.replace("\"seed\":\"8c1f30d27a5be964\",", ""),
+            good.replace("\"settings\":", "\"sittings\":"),
+            good.replace("\"categories\":", "\"cats\":"),
+            good.replace("\"most_tries\":1,", ""),
+            good.replace("\"most_tries\":1", "\"most_tries\":0"),
+            good.replace("\"most_tries\":1", "\"most_tries\":null"),
+            good.replace("\"most_tries\":1", "\"most_tries\":\"few\""),
+            good.replaceFirst("\"deadline_ns\":20000000000,", ""),
+            good.replaceFirst("\"deadline_ns\":20000000000", "\"deadline_ns\":-1"),
+            good.replaceFirst("\"deadline_ns\":20000000000", "\"deadline_ns\":1.5"),
+            good.replaceFirst("\"deadline_ns\":20000000000", "\"deadline_ns\":true"),
+            good.replaceFirst(",\"semantics\":\"retryable\"", ""),
+            good.replaceFirst("\"discovery\":\"[0-9.:]+\"", "\"discovery\":\"there\""),
+        };
+        for (int i = 0; i < broken.length; i++) {
+            assertTrue(i + " is broken", !broken[i].equals(good));
+            stage.reload(broken[i]);
+            awaitFigure("app_conf_invalid " + (i + 1));
+        }
+        assertEquals("made", stage.call("use").body());
+        assertEquals(400, stage.call("study").status());
+        stage.reload(good.replace("20000000000,", "20000000000.0,"));
+        awaitFigure("app_conf_loaded 1");
+        assertEquals("made", stage.call("study").body());
+    }
+}
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -98,12 +98,13 @@
     /** What staff are told of in the log. */
     private enum Note { EJECTED, RESTS, TURNED_AWAY, LIST_FAILED, MOST_FAIL }
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     /** What the host allows for now; null: everything. */
     private Admission admission;
-    private final Map<String, Party> classes = new LinkedHashMap<>(), tenants = new LinkedHashMap<>();
+    private final Map<String, Party> classes = new LinkedHashMap<>(), tenants = new LinkedHashMap<>(),
+            everyClass = new HashMap<>(); // also those that other settings had
     private final Map<Long, Request> requests = new HashMap<>();
     /** Held requests, a line for each class and tenant, within its quota or over it. */
     private final List<Line> lines = new ArrayList<>();
@@ -126,11 +127,10 @@
     private final Map<Long, Double> keySeen = new LinkedHashMap<>();
     private double keysSeen;
     private final Rate served, askedWorth;
-    private long tightestAim = Long.MAX_VALUE, longestDeadline;
-    private final double floorMemory, finest;
+    private long tightestAim, longestDeadline;
     private double retryTokens = RETRY_SAVED;
     /** Means of this node's requests; the aim by worth. */
-    private double meanWork, meanLatency, meanAim;
+    private double meanWork, meanLatency, meanAim, finest;
     private boolean releaseTimerSet, watching, polling;
     private int pollNext, failedCalls;
     private long askSerial;
@@ -138,27 +138,36 @@
 
     /** A {@link Events#list} should follow; throws IllegalArgumentException that names a bad setting. */
     public Balancer(Settings settings, long seed, long now, Actions actions) {
-        settings.check();
-        this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        for (RequestClass c : settings.classes) {
-            longestDeadline = Math.max(longestDeadline, c.deadlineNs());
-            tightestAim = Math.min(tightestAim, Math.max(settings.tickNs, c.aimNs()));
-        }
+        retune(now, settings);
         meanAim = tightestAim;
         Arrays.fill(notedAt, now - longestDeadline);
-        floorMemory = FLOOR_MEMORY * longestDeadline;
-        finest = settings.finestNs();
+        askedWorth = new Rate((long) (GOAL_MEMORY * longestDeadline), now);
+        served = new Rate(settings.fallNs, now);
+    }
+
+    /** Other settings hold from now on, if none is bad; what is known stays, requests keep their class. */
+    public void retune(long now, Settings to) {
+        to.check();
+        settings = to;
+        finest = to.finestNs();
+        classes.clear();
+        longestDeadline = 0;
+        tightestAim = Long.MAX_VALUE;
+        for (RequestClass c : to.classes) {
+            longestDeadline = Math.max(longestDeadline, c.deadlineNs());
+            tightestAim = Math.min(tightestAim, Math.max(to.tickNs, c.aimNs()));
+        }
         long memory = (long) (GOAL_MEMORY * longestDeadline);
-        askedWorth = new Rate(memory, now);
-        for (RequestClass c : settings.classes) {
-            classes.put(c.name(), new Party(c, null, memory, settings.fallNs, now));
+        for (RequestClass c : to.classes) {
+            classes.put(c.name(), everyClass.merge(c.name(), new Party(c, null, memory, to.fallNs, now),
+                    (had, fresh) -> had.rules.equals(c) ? had : fresh));
         }
-        for (Tenant t : settings.tenants) {
-            tenants.put(t.name(), new Party(null, t, memory, settings.fallNs, now));
+        for (Tenant t : to.tenants) {
+            tenants.merge(t.name(), new Party(null, t, memory, to.fallNs, now),
+                    (had, fresh) -> had.tenant.equals(t) ? had : fresh);
         }
-        served = new Rate(settings.fallNs, now);
     }
 
     // ---- events ------------------------------------------------------------------------------------
@@ -166,7 +175,7 @@
     @Override
     public void request(long now, long id, String requestClass, long workNs, long deadline, String tenant,
                         boolean repeat, long key) {
-        Party c = classes.get(requestClass);
+        Party c = everyClass.get(requestClass);
         Settings.require(c != null, "classes: none is named " + requestClass);
         long as = settings.warmKeys && key != 0 ? spread(key) : key;
         Request r = new Request(id, c, tenants.get(tenant), as, workNs, now, deadline, settings.maxAttempts);
@@ -266,11 +275,10 @@
                 }
             }
             case TIMER_POLL -> poll(now);
-            case TIMER_RELEASE -> {
+            default -> { // TIMER_RELEASE
                 releaseTimerSet = false;
                 release(now);
             }
-            default -> { }
         }
     }
 
@@ -289,9 +297,7 @@
             giveUp(r);
             return;
         }
-        if (mayHaveRun) {
-            retryTokens--;
-        }
+        retryTokens -= mayHaveRun ? 1 : 0;
         if (!place(r, now)) {
             hold(r, now);
         }
@@ -378,8 +384,8 @@
     }
 
     private void took(Backend b, int outAtSend, double latency, long now) {
-        b.took(latency, outAtSend, meanAim, floorMemory, now);
-        pool.took(latency, outAtSend, meanAim, floorMemory, now);
+        b.took(latency, outAtSend, meanAim, FLOOR_MEMORY * longestDeadline, now);
+        pool.took(latency, outAtSend, meanAim, FLOOR_MEMORY * longestDeadline, now);
         steer(b, now);
         restIfJammed(b, now);
     }
@@ -532,14 +538,9 @@
         }
         double draw = random.nextDouble() * total;
         int winner = -1;
-        for (int i = 0; i < mine.size(); i++) {
-            if (tickets[i] > 0) {
-                winner = i;
-                draw -= tickets[i];
-                if (draw < 0) {
-                    break;
-                }
-            }
+        for (int i = 0; i < mine.size() && draw >= 0; i++) {
+            winner = tickets[i] > 0 ? i : winner;
+            draw -= tickets[i];
         }
         send(r, mine.get(winner), now);
         return true;
@@ -686,7 +687,7 @@
      * time for another attempt is called off early; anything else would be given up for nothing.
      */
     private long patience(Request r, Backend b, long now) {
-        if (r.c.rules.semantics() != Semantics.SAFE || r.sent >= settings.maxAttempts || retryTokens < 1) {
+        if (r.c.rules.semantics() != Semantics.SAFE || r.sent >= r.most(settings) || retryTokens < 1) {
             return 0;
         }
         double size = r.workNs > 0 && meanWork > 0 ? Math.max(1, r.workNs / meanWork) : 1;
@@ -696,7 +697,7 @@
 
     /** Whether an attempt may go to this backend now, or, with null, to any backend at all. */
     private boolean permits(Request r, Backend b, long now) {
-        if (r.ended || r.streaming || r.sent >= settings.maxAttempts || now >= r.deadline
+        if (r.ended || r.streaming || r.sent >= r.most(settings) || now >= r.deadline
                 || r.open > 0 && !settings.secondCopies) {
             return false;
         }
@@ -876,11 +877,8 @@
             l.requests.removeFirst();
             held--;
         }
-        while (!l.requests.isEmpty()) {
-            Request r = l.requests.peekLast();
-            if (!r.ended && !turnedAway(r, now)) {
-                return;
-            }
+        while (!l.requests.isEmpty()
+                && (l.requests.peekLast().ended || turnedAway(l.requests.peekLast(), now))) {
             l.requests.removeLast();
             held--;
         }
@@ -955,10 +953,8 @@
         }
         dropGone();
         choosePart(now);
-        if (tickets.length < listed.size()) {
-            tickets = new double[2 * listed.size()];
-            predicted = new double[2 * listed.size()];
-        }
+        tickets = Arrays.copyOf(tickets, Math.max(tickets.length, listed.size()));
+        predicted = Arrays.copyOf(predicted, tickets.length);
         if (settings.listOnRequest) {
             if (kind == ListKind.CACHED) {
                 ask();
@@ -1060,9 +1056,10 @@
     }
 
     /** How many of the list are not drawn for now: they drain, are ejected or rest. */
-    public int avoided() {
-        return (int) listed.stream().filter(b -> b.state != State.READY || b.failures >= EJECT_AFTER
-                || b.rests > 0).count();
+    public int avoided(long now) {
+        boolean trustAll = tooManyEjected(0);
+        return (int) listed.stream().filter(b -> b.state != State.READY || !trustAll && now < b.ejectedUntil
+                && (b.failures >= EJECT_AFTER || b.rests > 0)).count();
     }
 
     // ---- what is known -----------------------------------------------------------------------------
@@ -1097,6 +1094,11 @@
             lost = new boolean[maxAttempts];
         }
 
+        /** Attempts that it may have, by the settings that hold now and those that it came under. */
+        int most(Settings s) {
+            return Math.min(s.maxAttempts, fate.length);
+        }
+
         /** The first attempt that may have run or may still, or -1. */
         int firstThatMayHaveRun() {
             for (int i = 0; i < sent; i++) {
--- a/decisions/src/main/java/trailthread/BalancerApi.java
+++ b/decisions/src/main/java/trailthread/BalancerApi.java
@@ -111,7 +111,7 @@
     public record Load(double inflight, double queue, double util, double latencyMs, double qps, double eps) {
     }
 
-    /** Settings, each with its default. A balancer reads them once, when it is made. */
+    /** Settings, each with its default. A balancer reads them when it is made or retuned. */
     public static final class Settings {
         /** The least time between two events with different clocks. */
         public long tickNs = 1_000_000;
--- a/decisions/src/main/java/trailthread/settings/SettingsParser.java
+++ b/decisions/src/main/java/trailthread/settings/SettingsParser.java
@@ -15,6 +15,9 @@
  * unknown paths are skipped.
  */
 public final class SettingsParser {
+    /** Below this, a double holds every whole number. */
+    private static final double MOST_WHOLE = 1L << 53;
+
     private final Map<String, String> values = new HashMap<>();
     private final String where;
 
@@ -135,6 +138,12 @@
     public long whole(String path, long otherwise) {
         String value = values.get(path);
         try {
+            if (value != null && value.indexOf('.') >= 0) {
+                double told = Double.parseDouble(value);
+                if (told == Math.rint(told) && Math.abs(told) < MOST_WHOLE) {
+                    return (long) told; // some writers tell every number with decimals
+                }
+            }
             return value == null ? otherwise : Long.parseLong(value);
         } catch (NumberFormatException e) {
             throw new WireException(where, path, "a whole number");
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -32,9 +32,9 @@
     private final Map<Long, Call> calls = new HashMap<>();
     /** The clients' ids of these. Workers tell copies of a call by its id. */
     private final Set<String> openIds = new HashSet<>();
-    private final long answerSlackNs;
+    private long answerSlackNs;
     /** What takes longer to tell its load than the tightest aim is fit for nothing just now. */
-    private final long probeWithinNs;
+    private long probeWithinNs;
     private WorkerList list;
     /** Runs when the last call has ended, and nothing more is done after that; null: it goes on. */
     private Runnable whenOver;
@@ -46,13 +46,23 @@
         this.meter = meter;
         this.loop = loop;
         this.workers = workers;
-        this.answerSlackNs = settings.answerSlackNs;
-        this.probeWithinNs = settings.classes.stream().mapToLong(RequestClass::aimNs).min().orElseThrow();
+        apply(settings);
         decisions = new Decisions(loop::now);
         module = new Balancer(settings, seed, loop.now(), decisions.queueing(this));
         decisions.setModule(module);
     }
 
+    private void apply(Settings settings) {
+        answerSlackNs = settings.answerSlackNs;
+        probeWithinNs = settings.classes.stream().mapToLong(RequestClass::aimNs).min().orElseThrow();
+    }
+
+    /** Other settings hold from now on; calls under way keep their class. */
+    public void retune(Settings settings) {
+        apply(settings);
+        decisions.event(null, (events, now) -> module.retune(now, settings));
+    }
+
     /** Where the module's wishes about the list go; without one they are let be. */
     public void setRoster(WorkerList list) {
         this.list = list;
@@ -83,7 +93,7 @@
 
     /** How many of the listed workers the module avoids just now. */
     public int avoidedWorkers() {
-        return module.avoided();
+        return module.avoided(now());
     }
 
     /** Brings the module news of the workers. */
--- a/engine/src/main/java/trailthread/engine/worker/Connections.java
+++ b/engine/src/main/java/trailthread/engine/worker/Connections.java
@@ -30,9 +30,9 @@
     }
 
     private final Loop loop;
-    final long connectTimeoutNs;
-    final long drainGraceNs;
-    private final long idleNs;
+    long connectTimeoutNs;
+    long drainGraceNs;
+    private long idleNs;
     private final ConnectionRoom room;
     private final Account account;
     /** Those idle at any worker, the longest idle first. */
@@ -44,11 +44,16 @@
     Connections(Loop loop, long connectTimeoutNs, long idleNs, long drainGraceNs, ConnectionRoom room,
                 Account account) {
         this.loop = loop;
-        this.connectTimeoutNs = connectTimeoutNs;
-        this.idleNs = (long) (KEPT_SHARE * idleNs);
-        this.drainGraceNs = drainGraceNs;
         this.room = room;
         this.account = account;
+        retune(connectTimeoutNs, idleNs, drainGraceNs);
+    }
+
+    /** Other times hold from now on, as in the constructor. */
+    void retune(long connectWithinNs, long workersKeepNs, long graceNs) {
+        connectTimeoutNs = connectWithinNs;
+        idleNs = (long) (KEPT_SHARE * workersKeepNs);
+        drainGraceNs = graceNs;
     }
 
     /** An idle connection to the worker, the last one used, or null. */
--- a/engine/src/main/java/trailthread/engine/worker/Workers.java
+++ b/engine/src/main/java/trailthread/engine/worker/Workers.java
@@ -33,6 +33,11 @@
         this.connections = new Connections(loop, connectTimeoutNs, idleNs, drainGraceNs, room, account);
     }
 
+    /** Other times hold from now on, as in the constructor. */
+    public void retune(long connectTimeoutNs, long idleNs, long drainGraceNs) {
+        connections.retune(connectTimeoutNs, idleNs, drainGraceNs);
+    }
+
     /**
      * Where a worker is, as it is told as address:port.
      *
