Pass long answers on as they come, and keep long bodies in bounded room

Answers past 64 KiB are passed on with back-pressure (LongAnswer); the module hears `firstByte`, and such an attempt leaves the worker's line then: with one worker, one slow reader held up every other call. Answers may end with their connection. Bodies are kept in blocks within three tenths of the heap (BodyRoom), have time by their pace, and are told to go on. A call's time counts from its last byte. Bodies past a buffer's length are written in slices, not copied once more. The warm-up may take 2.5 s where nobody waits for the node (1 s).

--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -42,7 +42,7 @@
     /** The first ones load what all need, and take a hundred times as long as those that follow. */
     private static final int LEAST_CALLS = 3;
     /** So long it takes on half a core until code is compiled; nobody waits for a node of an idle fleet. */
-    private static final long LONGEST_NS = 1_000_000_000L;
+    private static final long LONGEST_NS = 2_500_000_000L;
     /** A start takes no longer where nothing is known of the fleet... */
     private static final long UNKNOWING_NS = 400_000_000L;
     /**
@@ -143,7 +143,7 @@
         String id = prefix + count;
         workers.delegate(SELF, new WorkerRequest(id, c.name(), safe ? "GET" : "POST", "/" + c.name(),
                 c.semantics() == Semantics.KEYED ? id : null, safe ? new byte[0] : BODY, null),
-                CALL_WITHIN_NS, () -> { }, this::next);
+                CALL_WITHIN_NS, this::next);
     }
 
     @Override
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -32,6 +32,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Acceptor.class);
     private static final int MOST_HEADER_BYTES = 16 * 1024;
     private static final int BACKLOG = 1024;
+    /** Of the heap; a body that is put together takes as much once more for a moment. */
+    private static final double BODIES_SHARE = 0.3;
     /** A loop that has run late by so much may have left connections waiting to be accepted. */
     private static final long LATE_NS = 10_000_000L;
     private static final long ACCEPTED_WITHIN_NS = 100_000_000L;
@@ -39,6 +41,7 @@
 
     private final Loop loop;
     private final ClientConnections connections;
+    private final BodyRoom bodies = new BodyRoom((long) (BODIES_SHARE * Runtime.getRuntime().maxMemory()));
     private final int mostConnections;
     private final Meter meter;
     private Front front;
@@ -101,6 +104,7 @@
     private ChannelListener<AcceptingChannel<StreamConnection>> accept() {
         HttpOpenListener http = new HttpOpenListener(loop.buffers(), OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER_BYTES)
+                .set(UndertowOptions.MAX_ENTITY_SIZE, -1L) // BodyReader holds the bound
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.DECODE_URL, false)
@@ -179,7 +183,6 @@
     }
 
     private void handle(HttpServerExchange exchange) {
-        long headersAt = loop.now();
         long owedBy = track(exchange);
         if (exchange.getRequestURI().equals(front.readyPath())) {
             exchange.setStatusCode(isReady() ? 200 : 503);
@@ -189,34 +192,39 @@
         }
         Front readBy = front;
         Incoming incoming = front.read(exchange);
-        if (exchange.getRequestContentLength() > BodyReader.MOST_BYTES) {
+        if (exchange.getRequestContentLength() > BodyReader.MOST_BYTES) { // nothing says that it is to be sent
             Connectors.terminateRequest(exchange); // too much to read past
             reject(exchange, Rejection.TOO_LARGE);
             return;
         }
         long kept = incoming.call() == null ? 0 : keptFor(exchange, incoming.taker());
         exchange.dispatch(SameThreadExecutor.INSTANCE,
-                () -> new BodyReader(loop, exchange, owedBy - loop.now(), kept >= 0, body -> {
+                () -> new BodyReader(loop, exchange, owedBy, kept >= 0, bodies, (body, fault) -> {
                     if (readBy == front) {
-                        whole(exchange, incoming, body, headersAt, kept);
+                        whole(exchange, incoming, body, fault, kept);
                     } else { // what takes it now is not what took it when its head came
                         giveUp(incoming, kept);
                         Incoming again = front.read(exchange);
-                        whole(exchange, again, body, headersAt,
+                        whole(exchange, again, body, fault,
                                 again.call() == null ? 0 : kept < 0 ? kept : keptFor(exchange, again.taker()));
                     }
                 }, () -> giveUp(incoming, kept)).read());
     }
 
-    private void whole(HttpServerExchange exchange, Incoming incoming, byte[] body, long headersAt, long kept) {
+    private void whole(HttpServerExchange exchange, Incoming incoming, byte[] body, BodyReader.Fault fault,
+                       long kept) {
         Rejection why = incoming.call() == null ? incoming.why()
-                : body == null ? Rejection.TOO_LARGE
+                : fault == BodyReader.Fault.TOO_LARGE ? Rejection.TOO_LARGE
+                : fault == BodyReader.Fault.NO_ROOM ? Rejection.NO_ROOM
                 // the worker would take it for a copy
                 : incoming.taker().isOpen(incoming.call().id()) ? Rejection.CONFLICT : null;
         if (why == null) {
-            take(exchange, incoming, incoming.call().withBody(body), headersAt, kept);
+            take(exchange, incoming, incoming.call().withBody(body), kept);
         } else {
             giveUp(incoming, kept);
+            if (body != null) {
+                bodies.give(BodyReader.roomFor(body.length));
+            }
             reject(exchange, why);
         }
     }
@@ -225,7 +233,7 @@
     private static long keptFor(HttpServerExchange exchange, Front.Taker taker) {
         long length = exchange.getRequestContentLength();
         boolean bare = length < 0 && !exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING);
-        long bytes = bare ? 0 : length < 0 ? BodyReader.MOST_BYTES : length;
+        long bytes = bare ? 0 : length < 0 ? BodyRoom.BLOCK_BYTES : length;
         return taker.takeBody(bytes) ? bytes : -1;
     }
 
@@ -247,11 +255,19 @@
         return owedBy;
     }
 
-    private void take(HttpServerExchange exchange, Incoming incoming, ClientCall call, long headersAt, long kept) {
+    private void take(HttpServerExchange exchange, Incoming incoming, ClientCall call, long kept) {
         ClientConnection client = ClientConnection.of(exchange);
         client.setOwner(incoming.taker().owner());
         HttpReply reply = new HttpReply(loop, exchange, incoming.plain(), () -> connections.endsWithAnswer(client));
-        reply.watchClient(incoming.taker().take(call, headersAt + call.timeLeftNs(), reply, kept));
+        long room = BodyReader.roomFor(call.body().length);
+        if (room > 0) {
+            exchange.addExchangeCompleteListener((done, next) -> {
+                bodies.give(room);
+                next.proceed();
+            });
+        }
+        // The client waits from its last byte on, however long it took to send the rest.
+        reply.watchClient(incoming.taker().take(call, loop.now() + call.timeLeftNs(), reply, kept));
     }
 
     /**
@@ -265,6 +281,7 @@
             case TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
             case CONFLICT -> StatusCodes.CONFLICT;
             case NO_ROUTE -> StatusCodes.NOT_FOUND;
+            case NO_ROOM -> StatusCodes.BAD_GATEWAY;
         };
         exchange.setStatusCode(status);
         if (why != Rejection.NO_ROUTE || connections.endsWithAnswer(ClientConnection.of(exchange))) {
--- a/daemon/src/main/java/trailthread/daemon/acceptor/ClientConnections.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/ClientConnections.java
@@ -20,9 +20,11 @@
  */
 final class ClientConnections {
     /** A connection brings the head of its first call whole within this, and any head once it has begun. */
-    private static final long HEAD_WITHIN_NS = 2_000_000_000L;
+    private static final long HEAD_WITHIN_NS = 2_600_000_000L;
     /** A kept connection without a call is closed after so long, though there is room. */
     private static final long IDLE_NS = 15_000_000_000L;
+    /** And the rest of its message so soon after its head, but for what a body's pace earns it. */
+    private static final long REST_WITHIN_NS = 1_000_000_000L;
     /** From when on an idle connection may make room for another: clients count on it for this long. */
     private static final long KEPT_AT_LEAST_NS = 2_000_000_000L;
     /** A client with a call sends it as soon as it is connected; a silent one then makes room. */
@@ -82,7 +84,7 @@
         boolean first = silent.remove(client);
         idlesNoMore(client);
         busy.add(client);
-        return (first ? client.since() : now) + HEAD_WITHIN_NS + SPEAKS_WITHIN_NS;
+        return Math.max((first ? client.since() : now) + HEAD_WITHIN_NS, now + REST_WITHIN_NS);
     }
 
     void ended(ClientConnection client) {
@@ -185,7 +187,9 @@
             if (client.since() > since || size() <= share * mayHold) {
                 return;
             }
-            if (makesRoom(client.owner())) {
+            // One that has begun to speak may be slow, as long as there is no crowd.
+            boolean speaks = share < CROWDED_SHARE && client.speaksSince() > 0;
+            if (!speaks && makesRoom(client.owner())) {
                 close(client);
             }
         }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -14,6 +14,7 @@
 import trailthread.engine.http.EndToEnd;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.loop.Seconds;
+import trailthread.engine.worker.AnswerSink;
 import trailthread.engine.worker.Made;
 
 /** Answers one call over HTTP, and notices when its client goes away. */
@@ -31,6 +32,8 @@
     private final boolean plain;
     private final BooleanSupplier closing;
     private boolean answered;
+    /** The answer, if it is passed on as it comes; else null. */
+    private LongAnswer longAnswer;
 
     /**
      * @param plain   whether a worker's status and headers are passed on
@@ -45,6 +48,22 @@
 
     @Override
     public void served(Made made) {
+        passHeaders(made);
+        answer(made.status(), made.body());
+    }
+
+    @Override
+    public AnswerSink begin(Made head, long length, Runnable more, Runnable gone) {
+        passHeaders(head);
+        head(head.status());
+        if (length >= 0) {
+            exchange.setResponseContentLength(length);
+        }
+        longAnswer = new LongAnswer(loop, exchange, more, gone);
+        return longAnswer;
+    }
+
+    private void passHeaders(Made made) {
         if (made.headers() != null && plain) {
             // Where they can't be told apart from another answer's beginning, they are left out: never seen here.
             EndToEnd.pass(made.headers(), LEFT_OUT, exchange.getResponseHeaders()::add);
@@ -54,7 +73,6 @@
                 exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
             }
         }
-        answer(made.status(), made.body());
     }
 
     @Override
@@ -70,7 +88,7 @@
         answer(FAILED, new byte[0]);
     }
 
-    private void answer(int status, byte[] body) {
+    private void head(int status) {
         if (answered) {
             throw new IllegalStateException("answered twice");
         }
@@ -79,6 +97,10 @@
         if (closing.getAsBoolean()) {
             exchange.setPersistent(false);
         }
+    }
+
+    private void answer(int status, byte[] body) {
+        head(status);
         if (plain && body.length == 0) {
             exchange.endExchange();
         } else {
@@ -126,6 +148,8 @@
             if (!answered) {
                 answered = true;
                 gone.run();
+            } else if (longAnswer != null) {
+                longAnswer.clientGone();
             }
             IoUtils.safeClose(connection);
         }
--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
@@ -0,0 +1,233 @@
+package trailthread.daemon;
+
+import static org.junit.Assert.assertArrayEquals;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.After;
+import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
+
+/** Long answers and bodies: more at once than memory holds, in all forms, by peers that take their time. */
+public class LongMessagesTest {
+    private static final int LONG = 4_000_000;
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+    private final Stage stage;
+
+    public LongMessagesTest() throws Exception {
+        stage = new Stage();
+        stage.more = "\"management\":\"127.0.0.1:0\",";
+    }
+
+    @After
+    public void end() throws Exception {
+        stage.end();
+    }
+
+    private static byte[] bytes(int count) {
+        byte[] bytes = new byte[count];
+        new Random(count).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static void chunks(OutputStream out, byte[] body, int chunk) throws IOException {
+        for (int from = 0; from < body.length; from += chunk) {
+            int count = Math.min(chunk, body.length - from);
+            out.write((Integer.toHexString(count) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+            out.write(body, from, count);
+            out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** What a client gets, without its framing; fails if it is not whole. */
+    private static byte[] read(Socket client) throws IOException {
+        InputStream in = client.getInputStream();
+        String head = head(in);
+        assertTrue(head, head.startsWith(OK));
+        if (head.contains("Content-Length: ")) {
+            int length = Integer.parseInt(head.replaceAll("(?s).*Content-Length: (\\d+)\r\n.*", "$1"));
+            byte[] body = in.readNBytes(length);
+            assertEquals("cut short", length, body.length);
+            return body;
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            int size = Integer.parseInt(line(in), 16);
+            body.write(in.readNBytes(size));
+            line(in);
+            if (size == 0) {
+                return body.toByteArray();
+            }
+        }
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            head.append(line).append("\r\n");
+        }
+        return head.toString();
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                throw new IOException("ended in " + line);
+            }
+            line.append(b == '\r' ? "" : String.valueOf((char) b));
+        }
+        return line.toString();
+    }
+
+    @Test
+    public void longAnswersPassInEveryForm() throws Exception {
+        byte[] made = bytes(LONG);
+        List<Peer.Script> forms = List.of(
+                request -> {
+                    Message.send(request.connection(), OK + "Content-Length: " + LONG + "\r\n\r\n");
+                    request.connection().getOutputStream().write(made);
+                },
+                request -> {
+                    Message.send(request.connection(), OK + "Transfer-Encoding: chunked\r\n\r\n");
+                    chunks(request.connection().getOutputStream(), made, 1000);
+                    Message.send(request.connection(), "0\r\n\r\n");
+                },
+                request -> {
+                    Message.send(request.connection(), OK + "\r\n");
+                    request.connection().getOutputStream().write(made);
+                    request.connection().shutdownOutput();
+                });
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        for (Peer.Script form : forms) {
+            worker.setScript(form);
+            Socket client = stage.connect();
+            Message.send(client, Stage.request("use", "", ""));
+            worker.asked();
+            assertArrayEquals(made, read(client));
+            worker.setScript(request -> request.answer("200 OK", "", "next"));
+            Message.send(client, Stage.request("use", "", ""));
+            assertEquals("the connection goes on", "next", Message.read(client).body());
+            worker.asked();
+        }
+    }
+
+    @Test
+    public void moreAtOnceThanMemoryHoldsForClientsThatReadLate() throws Exception {
+        byte[] made = bytes(8 * LONG);
+        Peer worker = stage.add(new Peer(request -> {
+            if (request.start().startsWith("GET")) {
+                request.answer("200 OK", "", "short");
+            } else {
+                Message.send(request.connection(), OK + "Content-Length: " + made.length + "\r\n\r\n");
+                request.connection().getOutputStream().write(made);
+            }
+        }));
+        stage.start(Stage.SETTINGS, worker);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 6; i++) { // 192 MB, where the program has 64
+            clients.add(stage.connect());
+            Message.send(clients.get(i), Stage.request("use", "", ""));
+            worker.asked();
+        }
+        assertEquals("others are served meanwhile", "short", stage.call("state").body());
+        clients.get(0).close();
+        for (Socket client : clients.subList(1, clients.size())) {
+            assertArrayEquals(made, read(client));
+        }
+        assertEquals("short", stage.call("state").body());
+    }
+
+    @Test
+    public void whatBreaksOffIsNoWholeAnswer() throws Exception {
+        byte[] made = bytes(LONG);
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        for (String framing : List.of("Content-Length: " + 2 * LONG + "\r\n", "Transfer-Encoding: chunked\r\n", "")) {
+            worker.setScript(request -> {
+                Message.send(request.connection(), OK + framing + "\r\n");
+                if (framing.startsWith("T")) {
+                    chunks(request.connection().getOutputStream(), made, LONG);
+                } else {
+                    request.connection().getOutputStream().write(made);
+                }
+                request.connection().setSoLinger(framing.isEmpty(), 0); // no length: a reset tells alone
+                request.connection().close();
+            });
+            Socket client = stage.connect();
+            Message.send(client, Stage.request("use", "", ""));
+            worker.asked();
+            try {
+                read(client);
+            } catch (IOException | AssertionError e) {
+                continue;
+            }
+            throw new AssertionError("passed for whole: " + framing);
+        }
+    }
+
+    @Test
+    public void longBodiesAreSentAgainAndBodiesInChunksGetALength() throws Exception {
+        String body = new String(bytes(LONG), StandardCharsets.ISO_8859_1);
+        Peer worker = stage.add(new Peer(request -> request.answer("503 Busy", "X-Unprocessed: 1\r\n", "")));
+        stage.start(Stage.SETTINGS, worker);
+        String head = Stage.request("use", "", "").replaceFirst("(?s)Content-Length: 4\r\n\r\npour", "");
+        Socket told = stage.connect();
+        Message.send(told, head + "Expect: 100-continue\r\nContent-Length: " + LONG + "\r\n\r\n");
+        assertEquals("HTTP/1.1 100 Continue", Message.read(told).start());
+        Message.send(told, body);
+        assertEquals(body, worker.asked().body());
+        assertEquals("sent again whole", body, worker.asked().body());
+        worker.setScript(request -> request.answer("200 OK", "", "made"));
+        assertEquals("made", Message.read(told).body());
+        worker.requests.clear();
+        Socket chunked = stage.connect();
+        Message.send(chunked, Stage.request("use", "", "").replaceFirst("(?s)Content-Length: 4\r\n\r\npour",
+                "Transfer-Encoding: chunked\r\n\r\n"));
+        chunks(chunked.getOutputStream(), body.getBytes(StandardCharsets.ISO_8859_1), 70_000);
+        Message.send(chunked, "0\r\n\r\n");
+        assertEquals("made", Message.read(chunked).body());
+        assertEquals(body, worker.asked().body());
+    }
+
+    @Test
+    public void bodiesPastTheRoomFailAndGiveItBack() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        byte[] most = bytes(30 * 1024 * 1024); // under what a body may have, over what there is room for
+        String head = Stage.request("use", "", "").replaceFirst("(?s)Content-Length: 4\r\n\r\npour", "");
+        for (int i = 0; i < 3; i++) {
+            Socket client = stage.connect();
+            Message.send(client, head + "Content-Length: " + most.length + "\r\n\r\n");
+            try {
+                client.getOutputStream().write(most);
+                assertTrue(Message.read(client).status() >= 500);
+            } catch (IOException | NullPointerException e) {
+                continue; // the connection ends
+            }
+        }
+        worker.wasNotAsked();
+        Socket client = stage.connect();
+        byte[] some = Arrays.copyOf(most, LONG);
+        Message.send(client, head + "Content-Length: " + some.length + "\r\n\r\n");
+        client.getOutputStream().write(some);
+        assertEquals("made", Message.read(client).body());
+        Socket tooLong = stage.connect();
+        Message.send(tooLong, head + "Content-Length: 60000000\r\n\r\n");
+        assertEquals(413, Message.read(tooLong).status());
+    }
+}
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -212,6 +212,7 @@
         Request r = requests.get(id);
         if (r != null && !r.streaming && attempt >= 0 && attempt < r.sent) {
             r.streaming = true;
+            leaves(r, attempt); // it passes on what is made: that holds up nobody who comes after it
             learnLatency(r.backends[attempt], r, attempt, now - r.sentAt[attempt], now);
         }
     }
@@ -226,10 +227,7 @@
         r.fate[attempt] = outcome;
         r.open--;
         Backend b = r.backends[attempt];
-        if (!r.lost[attempt]) {
-            leaves(b);
-        }
-        b.unanswered = Math.max(0, b.unanswered - (r.lost[attempt] ? 1 : 0));
+        b.unanswered -= leaves(r, attempt) ? 0 : Math.min(1, b.unanswered);
         if (load != null) {
             b.report(load, now);
         }
@@ -303,11 +301,15 @@
         }
     }
 
-    /** What has ended leaves the correction. */
-    private void leaves(Backend b) {
-        b.outstanding--;
-        b.sentSince = Math.max(0, b.sentSince - 1);
-        out--;
+    /** What has ended, or seems lost, leaves the correction; whether it had not before. */
+    private boolean leaves(Request r, int attempt) {
+        int one = r.lost[attempt] ? 0 : 1;
+        Backend b = r.backends[attempt];
+        r.lost[attempt] = true;
+        b.outstanding -= one;
+        b.sentSince = Math.max(0, b.sentSince - one);
+        out -= one;
+        return one > 0;
     }
 
     /**
@@ -327,9 +329,7 @@
                 if (known == 0 || now - at < (overtaken ? PATIENCE : JAMMED) * usual * (1 << doublings)) {
                     return;
                 }
-                s.r.lost[s.attempt] = true;
-                b.unanswered += overtaken ? 0 : 1;
-                leaves(b);
+                b.unanswered += leaves(s.r, s.attempt) && !overtaken ? 1 : 0;
             }
             b.sent.remove();
         }
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -1,12 +1,17 @@
 package trailthread.engine.call;
 
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
+import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.engine.meter.Answer;
+import trailthread.engine.worker.AnswerSink;
 import trailthread.engine.worker.Delegation;
+import trailthread.engine.worker.DelegationListener;
 import trailthread.engine.worker.Ending;
+import trailthread.engine.worker.Made;
 import trailthread.engine.worker.WorkerRequest;
 
 /** The life of one call, from top to bottom: taken, choice, delegation, outcome, answer. */
@@ -28,6 +33,8 @@
     private Delegation delegation;
     /** It has its answer, or its client has gone: no answer is owed. */
     private boolean finished;
+    /** A long answer is on its way to the client. */
+    private boolean streams;
 
     Call(Calls calls, long id, ClientCall client, long deadline, Reply reply) {
         this.calls = calls;
@@ -61,15 +68,47 @@
             return;
         }
         long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
-        delegation = calls.workers().delegate(worker, request, wait, calls.meter()::attemptSent, ending -> {
-            delegation = null;
-            outcome(worker, attempt, ending);
+        delegation = calls.workers().delegate(worker, request, wait, new DelegationListener() {
+            @Override
+            public void sent() {
+                calls.meter().attemptSent();
+            }
+
+            @Override
+            public AnswerSink begins(Made head, long length, Load told, Runnable more) {
+                return begun(worker, attempt, told, () -> reply.begin(head, length, more, Call.this::gone));
+            }
+
+            @Override
+            public void ended(Ending ending) {
+                delegation = null;
+                outcome(worker, attempt, ending);
+            }
         });
     }
 
+    /** A long answer begins: the client has it from here on, and the module makes no further attempt. */
+    private AnswerSink begun(String worker, int attempt, Load told, Supplier<AnswerSink> begin) {
+        if (finished) {
+            return null; // the client has gone
+        }
+        finish();
+        streams = true;
+        AnswerSink sink = begin.get();
+        calls.decisions().event(this, (module, now) -> module.firstByte(now, id, attempt));
+        if (told != null) {
+            calls.decisions().event(null, (module, now) ->
+                    module.probed(now, worker, Outcome.OK, -1, told));
+        }
+        return sink;
+    }
+
     /** The outcome: an answer goes to the client at once, then the module hears, and may choose again. */
     private void outcome(String worker, int attempt, Ending ending) {
         calls.meter().attemptEnded(worker, ending.outcome(), ending.latencyNs(), ending.load());
+        if (streams) {
+            answered(ending.outcome() == Outcome.OK ? Answer.SERVED : Answer.FAILED);
+        }
         if (ending.outcome() == Outcome.OK && !finished) {
             finish();
             answered(Answer.SERVED);
@@ -107,6 +146,9 @@
             calls.meter().gone(client.requestClass());
         }
         finish();
+        if (streams && delegation != null) {
+            delegation.cancel(); // nobody reads the rest
+        }
         calls.decisions().event(null, (module, now) -> module.gone(now, id));
         forgetIfDone();
     }
--- a/engine/src/main/java/trailthread/engine/call/Reply.java
+++ b/engine/src/main/java/trailthread/engine/call/Reply.java
@@ -1,5 +1,6 @@
 package trailthread.engine.call;
 
+import trailthread.engine.worker.AnswerSink;
 import trailthread.engine.worker.Made;
 
 /** How one call is answered: by exactly one of these. */
@@ -7,6 +8,16 @@
     /** What a worker made. */
     void served(Made made);
 
+    /**
+     * A long answer begins that a worker makes; the call has its answer then, whatever becomes of it.
+     *
+     * @param head   without a body
+     * @param length of the body, in bytes; -1: its end will tell
+     * @param more   to be run when there is room for more after there was none
+     * @param gone   to be run if the client goes away before the end
+     */
+    AnswerSink begin(Made head, long length, Runnable more, Runnable gone);
+
     /** An overload reply: trying again is harmless; 0: no advice on when. */
     void overload(long retryAfterNs);
 
--- a/engine/src/main/java/trailthread/engine/http/AnswerDecoder.java
+++ b/engine/src/main/java/trailthread/engine/http/AnswerDecoder.java
@@ -22,7 +22,7 @@
     /** The header map throws at some more of one name. */
     private static final int MOST_HEADERS = 100;
 
-    private enum State { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, WHOLE }
+    private enum State { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, REST, WHOLE }
 
     private final AnswerListener out;
     private final long mostBodyBytes;
@@ -71,6 +71,11 @@
         while (in.hasRemaining() && state != State.WHOLE) {
             switch (state) {
                 case BODY, CHUNK -> piece(in);
+                case REST -> {
+                    grow(in.remaining());
+                    out.body(in.slice());
+                    in.position(in.limit());
+                }
                 default -> {
                     if (completesLine(in)) {
                         take(takeLine());
@@ -80,6 +85,14 @@
         }
     }
 
+    /** The connection has ended in order; whether that is the answer's end. */
+    boolean endsWithConnection() {
+        if (state == State.REST) {
+            state = State.WHOLE;
+        }
+        return state == State.WHOLE;
+    }
+
     private void piece(ByteBuffer in) {
         int count = (int) Math.min(left, in.remaining());
         ByteBuffer piece = in.slice(in.position(), count);
@@ -221,14 +234,14 @@
             throw new MalformedAnswerException("an unclear length");
         }
         boolean bare = bodiless || status == 204 || status == 304;
-        if (lengths == 0 && !chunked && !bare) {
-            throw new MalformedAnswerException("no length, so that a break would pass for its end");
-        }
+        boolean ends = lengths == 0 && !chunked && !bare; // with its connection: RFC 9112, 6.3
+        lasting &= !ends;
         left = lengths == 1 ? whole(headers.getFirst(Headers.CONTENT_LENGTH), 10) : 0;
         if (left < 0 || left > mostBodyBytes && !bare) {
             throw new MalformedAnswerException("a length that can't be");
         }
-        state = bare || !chunked && left == 0 ? State.WHOLE : chunked ? State.CHUNK_SIZE : State.BODY;
+        state = ends ? State.REST : bare || !chunked && left == 0 ? State.WHOLE
+                : chunked ? State.CHUNK_SIZE : State.BODY;
         out.head(status, headers);
     }
 
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -29,10 +29,17 @@
     private final ConduitStreamSourceChannel source;
     private final ConduitStreamSinkChannel sink;
     private final Runnable closed;
+    /** Of a buffer on the heap, the system call copies what it is given. */
+    private static final int MOST_WRITTEN_BYTES = 64 * 1024;
+
     private ByteBuffer unsent;
+    /** What follows it, or null. */
+    private ByteBuffer unsentBody;
     private AnswerListener listener;
     private AnswerDecoder answer;
     private boolean open = true;
+    /** Nothing is read: whoever hears the answer has no room for more. */
+    private boolean paused;
 
     private HttpConnection(Loop loop, StreamConnection connection, Account account, Runnable closed) {
         this.loop = loop;
@@ -98,15 +105,40 @@
      * @param isHead whether it is a HEAD request, whose answer has no body
      */
     public void send(ByteBuffer request, long mostBodyBytes, boolean isHead, AnswerListener hears) {
+        send(request, null, mostBodyBytes, isHead, hears);
+    }
+
+    /**
+     * The same.
+     *
+     * @param body what follows the request's head, or null
+     */
+    public void send(ByteBuffer request, ByteBuffer body, long mostBodyBytes, boolean isHead, AnswerListener hears) {
         unsent = request;
+        unsentBody = body;
         listener = hears;
         answer = new AnswerDecoder(hears, mostBodyBytes, isHead);
         write();
     }
 
+    /** Reads no further until {@link #resume}; what has been read already is still told of. */
+    public void pause() {
+        paused = true;
+        source.suspendReads();
+    }
+
+    /** Reads on. */
+    public void resume() {
+        if (paused && open) {
+            paused = false;
+            source.resumeReads();
+            source.wakeupReads(); // what has come meanwhile may not be told of again
+        }
+    }
+
     /** Whether the request's last byte has been written. */
     public boolean isSent() {
-        return unsent != null && !unsent.hasRemaining();
+        return unsent != null && !unsent.hasRemaining() && (unsentBody == null || !unsentBody.hasRemaining());
     }
 
     /** Looks at what has come by now; the listener hears of it before this returns. */
@@ -140,11 +172,9 @@
 
     private void write() {
         try {
-            while (unsent != null && unsent.hasRemaining()) {
-                if (sink.write(unsent) == 0) {
-                    sink.resumeWrites();
-                    return;
-                }
+            if (!write(unsent) || !write(unsentBody)) {
+                sink.resumeWrites();
+                return;
             }
             sink.suspendWrites();
             if (listener != null && unsent != null) {
@@ -155,10 +185,23 @@
         }
     }
 
+    /** Whether all of it has been written. */
+    private boolean write(ByteBuffer bytes) throws IOException {
+        while (bytes != null && bytes.hasRemaining()) {
+            int count = Math.min(bytes.remaining(), MOST_WRITTEN_BYTES);
+            int written = sink.write(bytes.slice(bytes.position(), count));
+            if (written == 0) {
+                return false;
+            }
+            bytes.position(bytes.position() + written);
+        }
+        return true;
+    }
+
     private void read() {
         try (var pooled = loop.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (open) {
+            while (open && !paused) {
                 buffer.clear();
                 int count = source.read(buffer);
                 if (count == 0) {
@@ -168,6 +211,10 @@
                     close(); // more than belongs to an answer, or the end
                     return;
                 }
+                if (count < 0 && answer.endsWithConnection()) {
+                    whole();
+                    return;
+                }
                 if (count < 0) {
                     fail("ends before the answer is whole");
                     return;
@@ -193,16 +240,25 @@
             return;
         }
         if (answer == decoder && decoder.isWhole()) {
-            AnswerListener hears = listener;
-            listener = null;
-            answer = null;
             if (!decoder.isLasting() || !isSent() || bytes.hasRemaining()) {
-                close();
+                whole();
+            } else {
+                AnswerListener hears = listener;
+                listener = null;
+                answer = null;
+                resume(); // for the next one
+                hears.whole();
             }
-            hears.whole();
         }
     }
 
+    /** The answer is whole, and the last one here. */
+    private void whole() {
+        AnswerListener hears = listener;
+        close();
+        hears.whole();
+    }
+
     private void fail(String how) {
         AnswerListener hears = listener;
         close();
--- a/engine/src/main/java/trailthread/engine/http/RequestEncoder.java
+++ b/engine/src/main/java/trailthread/engine/http/RequestEncoder.java
@@ -20,6 +20,12 @@
         return this;
     }
 
+    /** The head of a request with a body of so many bytes, which is sent after it. */
+    public ByteBuffer encodeHead(int bodyBytes) {
+        header("Content-Length", Integer.toString(bodyBytes));
+        return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** The request with this body; null: it has none. */
     public ByteBuffer encode(byte[] body) {
         if (body != null) {
--- a/engine/src/main/java/trailthread/engine/meter/Rejection.java
+++ b/engine/src/main/java/trailthread/engine/meter/Rejection.java
@@ -9,5 +9,7 @@
     /** A call with its id is at work. */
     CONFLICT,
     /** No route takes it. */
-    NO_ROUTE
+    NO_ROUTE,
+    /** There is no memory for its body just now. */
+    NO_ROOM
 }
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -1,6 +1,7 @@
 package trailthread.engine.pool;
 
 import java.nio.file.Path;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
 import trailthread.engine.roster.RosterUpdate;
 import trailthread.engine.roster.WorkerList;
 import trailthread.engine.worker.ConnectionRoom;
+import trailthread.engine.worker.AnswerSink;
 import trailthread.engine.worker.Made;
 import trailthread.engine.worker.Workers;
 
@@ -258,6 +260,29 @@
             reply.served(made);
         }
 
+        @Override
+        public AnswerSink begin(Made head, long length, Runnable more, Runnable clientGone) {
+            AnswerSink sink = reply.begin(head, length, more, clientGone);
+            return new AnswerSink() {
+                @Override
+                public boolean piece(ByteBuffer piece) {
+                    return sink.piece(piece);
+                }
+
+                @Override
+                public void end() {
+                    give();
+                    sink.end();
+                }
+
+                @Override
+                public void broken() {
+                    give();
+                    sink.broken();
+                }
+            };
+        }
+
         @Override
         public void overload(long retryAfterNs) {
             give();
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -1,11 +1,11 @@
 package trailthread.engine.worker;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.function.Consumer;
 import org.xnio.XnioExecutor;
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
@@ -20,14 +20,18 @@
  * closed, before anyone hears of its ending, so that no second copy can be out beside it.
  */
 public final class Delegation implements AnswerListener {
-    private static final int MOST_BODY_BYTES = 64 * 1024;
+    /** What is longer is passed on as it comes. */
+    private static final int MOST_HELD_BYTES = 64 * 1024;
+    /** Who promises or brings more does not mean it. */
+    private static final long MOST_BODY_BYTES = 32 * 1024 * 1024;
+    /** An answer that is passed on and brings nothing for so long, though there is room for it, has broken. */
+    private static final long SILENT_NS = 10_000_000_000L;
 
     private final Loop loop;
     private final Connections connections;
     private final Worker worker;
     private final WorkerRequest request;
-    private final Runnable sent;
-    private final Consumer<Ending> ended;
+    private final DelegationListener listener;
     private final long startedAt;
     private final long endsAt;
     private XnioExecutor.Key timeout;
@@ -39,18 +43,23 @@
     private long sentAt;
     private boolean over;
     private WorkerAnswer answer;
+    /** Its length as its head told it, or -1. */
+    private long length = -1;
+    /** Where it goes as it comes, or null: it is held. */
+    private AnswerSink sink;
+    private boolean roomForMore;
+    private long cameAt;
     /** The answer's headers, if they are passed on. */
     private HeaderMap passed;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
 
     Delegation(Loop loop, Connections connections, Worker worker, WorkerRequest request, long timeoutNs,
-               Runnable sent, Consumer<Ending> ended) {
+               DelegationListener listener) {
         this.loop = loop;
         this.connections = connections;
         this.worker = worker;
         this.request = request;
-        this.sent = sent;
-        this.ended = ended;
+        this.listener = listener;
         startedAt = loop.now();
         endsAt = startedAt + timeoutNs;
     }
@@ -113,7 +122,10 @@
                     .header("X-Time-Left", Seconds.format(endsAt - now))
                     .header("Idempotency-Key", request.idempotencyKey());
         }
-        to.send(head.encode(request.sent()), MOST_BODY_BYTES, request.isHead(), this);
+        byte[] sent = request.sent();
+        boolean isLong = sent != null && sent.length > MOST_HELD_BYTES; // not to be copied once more
+        to.send(isLong ? head.encodeHead(sent.length) : head.encode(sent), isLong ? ByteBuffer.wrap(sent) : null,
+                MOST_BODY_BYTES, request.isHead(), this);
     }
 
     /** Its time is over. An answer that has come and was not read yet is no time-out. */
@@ -121,6 +133,9 @@
         if (connection != null) {
             connection.look();
         }
+        if (sink != null) {
+            return; // that look has found the beginning of a long one
+        }
         end(isSent() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
     }
 
@@ -131,20 +146,77 @@
 
     @Override
     public void sent() {
-        sent.run();
+        sentAt = loop.now(); // a long body's own way is not the worker's time
+        listener.sent();
     }
 
     @Override
     public void head(int status, HeaderMap headers) {
         answer = WorkerAnswer.decode(status, headers);
         passed = request.passing() == null ? null : headers;
+        String told = headers.getFirst(Headers.CONTENT_LENGTH);
+        length = told == null ? -1 : Long.parseLong(told);
     }
 
     @Override
     public void body(ByteBuffer piece) {
-        byte[] bytes = new byte[piece.remaining()];
-        piece.get(bytes);
-        body.write(bytes, 0, bytes.length);
+        if (over || sink == null && answer.outcome(passed != null) != Outcome.OK) {
+            return; // nobody will see it
+        }
+        if (sink == null && body.size() + piece.remaining() <= MOST_HELD_BYTES && length <= MOST_HELD_BYTES) {
+            byte[] bytes = new byte[piece.remaining()];
+            piece.get(bytes);
+            body.write(bytes, 0, bytes.length);
+            return;
+        }
+        if (sink == null && !begins()) {
+            return;
+        }
+        cameAt = loop.now();
+        pass(piece);
+    }
+
+    /** Passes on what is held, and all that comes from now on as it comes. */
+    private boolean begins() {
+        Made head = new Made(answer.status(), passed, new byte[0]);
+        sink = listener.begins(head, length, answer.load(), this::goOn);
+        if (sink == null) {
+            end(Outcome.CANCELLED);
+            return false;
+        }
+        timeout.remove();
+        loop.after(SILENT_NS, this::endIfSilent);
+        if (body.size() > 0) {
+            pass(ByteBuffer.wrap(body.toByteArray()));
+            body.reset();
+        }
+        return !over;
+    }
+
+    private void pass(ByteBuffer piece) {
+        roomForMore = sink.piece(piece);
+        if (!roomForMore && connection != null) {
+            connection.pause();
+        }
+    }
+
+    private void goOn() {
+        roomForMore = true;
+        cameAt = loop.now();
+        if (connection != null) {
+            connection.resume();
+        }
+    }
+
+    private void endIfSilent() {
+        if (!over) {
+            long silentNs = roomForMore ? loop.now() - cameAt : 0;
+            if (silentNs >= SILENT_NS) {
+                end(Outcome.RESET);
+            } else {
+                loop.after(SILENT_NS - silentNs, this::endIfSilent);
+            }
+        }
     }
 
     @Override
@@ -154,7 +226,8 @@
         long atLeastNs = loop.cameNotBefore() - sentAt;
         long atMostNs = loop.cameBy() - sentAt;
         // What probes take says nothing of what is usual for calls.
-        endedAfter(request.isProbe() ? atMostNs : worker.answerTime.told(atLeastNs, atMostNs),
+        endedAfter(sink != null ? AnswerTime.UNKNOWN
+                : request.isProbe() ? atMostNs : worker.answerTime.told(atLeastNs, atMostNs),
                 answer.outcome(passed != null));
     }
 
@@ -183,6 +256,11 @@
             return;
         }
         over = true;
+        if (sink != null && outcome == Outcome.OK) {
+            sink.end();
+        } else if (sink != null) {
+            sink.broken();
+        }
         if (timeout != null) {
             timeout.remove();
         }
@@ -197,10 +275,10 @@
         }
         Made made = outcome != Outcome.OK ? null : passed == null ? Made.of(body.toByteArray())
                 : new Made(answer.status(), passed, body.toByteArray());
-        Load load = answer == null ? null : answer.load();
+        Load load = answer == null || sink != null ? null : answer.load(); // old by the end of a long answer
         if (load == null && made != null && request.isProbe()) {
             load = LoadReport.parse(new String(made.body(), StandardCharsets.UTF_8));
         }
-        ended.accept(new Ending(outcome, latencyNs, load, made));
+        listener.ended(new Ending(outcome, latencyNs, load, made));
     }
 }
--- a/engine/src/main/java/trailthread/engine/worker/Workers.java
+++ b/engine/src/main/java/trailthread/engine/worker/Workers.java
@@ -86,20 +86,19 @@
     /**
      * Starts a delegation.
      *
-     * @param sent  runs when the request's last byte has been written, if it ever is
-     * @param ended is told once, never from within this call
+     * @param listener hears of it, never from within this call
      */
-    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs, Runnable sent,
-                               Consumer<Ending> ended) {
+    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs,
+                               DelegationListener listener) {
         Worker worker = workers.get(instanceId);
-        Delegation delegation = new Delegation(loop, connections, worker, request, timeoutNs, sent, ended);
+        Delegation delegation = new Delegation(loop, connections, worker, request, timeoutNs, listener);
         loop.execute(() -> account.charge(delegation::start));
         return delegation;
     }
 
     /** Asks a worker for its load; its ending holds what it told. */
     public void probe(String instanceId, long timeoutNs, Consumer<Ending> ended) {
-        delegate(instanceId, WorkerRequest.PROBE, timeoutNs, () -> { }, ended);
+        delegate(instanceId, WorkerRequest.PROBE, timeoutNs, ended::accept);
     }
 
     /** Closes as many idle connections, to whichever worker. */
