Give long bodies one array each, and hold answers of untold length for 0.1 s at most

Answers of untold length past 64 KiB were late, as all of it was held.

A body is one array by the length told, or grows twofold; what moves takes room twice meanwhile. An answer of untold length is passed on 0.1 s after its first bytes. A warm-up makes up to 1,000 calls (300) within its time; with no worker heard it takes 1.5 s (0.4 s), as silence says more of a cold node than of the fleet. Where workers are busy it is 0.1 s as before. LateLoopTest now shows that a long answer which a late time-out finds goes on.

Ruled out: a larger heap: 108 of 144 MB are in use.

--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -38,13 +38,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
     private static final String SELF = "self";
     /** By then what a call takes has been compiled; the next ones take a tenth of the first ones' time. */
-    private static final int MOST_CALLS = 300;
+    private static final int MOST_CALLS = 1000;
     /** The first ones load what all need, and take a hundred times as long as those that follow. */
     private static final int LEAST_CALLS = 3;
     /** So long it takes on half a core until code is compiled; nobody waits for a node of an idle fleet. */
     private static final long LONGEST_NS = 2_500_000_000L;
     /** A start takes no longer where nothing is known of the fleet... */
-    private static final long UNKNOWING_NS = 400_000_000L;
+    private static final long UNKNOWING_NS = 1_500_000_000L;
     /**
      * ...and where it is at work: the rest of the nodes serve this one's clients meanwhile, but where nodes
      * are restarted in turn, the next one has gone by then.
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -32,7 +32,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Acceptor.class);
     private static final int MOST_HEADER_BYTES = 16 * 1024;
     private static final int BACKLOG = 1024;
-    /** Of the heap; a body that is put together takes as much once more for a moment. */
+    /** Of the heap, most of whose old generation they may fill. */
     private static final double BODIES_SHARE = 0.3;
     /** A loop that has run late by so much may have left connections waiting to be accepted. */
     private static final long LATE_NS = 10_000_000L;
@@ -233,7 +233,7 @@
     private static long keptFor(HttpServerExchange exchange, Front.Taker taker) {
         long length = exchange.getRequestContentLength();
         boolean bare = length < 0 && !exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING);
-        long bytes = bare ? 0 : length < 0 ? BodyRoom.BLOCK_BYTES : length;
+        long bytes = bare ? 0 : length < 0 ? BodyRoom.SHORT_BYTES : length;
         return taker.takeBody(bytes) ? bytes : -1;
     }
 
--- a/daemon/src/main/java/trailthread/daemon/acceptor/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/BodyReader.java
@@ -6,8 +6,7 @@
 import io.undertow.server.protocol.http.HttpContinue;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Arrays;
 import java.util.function.BiConsumer;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -22,6 +21,9 @@
     static final long MOST_BYTES = 32 * 1024 * 1024;
     /** Of a body that is not kept, so much is read past before the connection ends unanswered. */
     private static final long MOST_SKIPPED = 1024 * 1024;
+    private static final byte[] NONE = new byte[0];
+    /** Of a body that does not tell its length. */
+    private static final int FIRST_BYTES = 1024;
     /** A body that comes slower than this, in bytes a second, is given up; clients send 64 kB a second or more. */
     private static final long LEAST_PACE = 48_000;
 
@@ -35,9 +37,9 @@
     private final BodyRoom room;
     private final BiConsumer<byte[], Fault> whole;
     private final Runnable broken;
-    /** What has come, in blocks that are full but for the last. */
-    private final List<byte[]> blocks = new ArrayList<>();
-    private int inLast;
+    private byte[] body = NONE;
+    /** Room taken for it. */
+    private long taken;
     private final long owedBy;
     private XnioExecutor.Key late;
     private long size;
@@ -47,7 +49,7 @@
     /**
      * @param owedBy what has not come whole then must have come fast enough
      * @param keep   whether the body is kept; else it is read past, and passes for empty
-     * @param room   what blocks past the first are taken from; they are given back when this is over, if it breaks
+     * @param room   what a long body takes; it is given back here if the body breaks
      * @param whole  gets the body, and why it is none, or null
      * @param broken runs instead if it never comes whole
      */
@@ -66,7 +68,7 @@
 
     /** Bytes of room that are taken for a body of this size. */
     static long roomFor(long size) {
-        return Math.max(0, (size - 1) / BodyRoom.BLOCK_BYTES) * BodyRoom.BLOCK_BYTES;
+        return size > BodyRoom.SHORT_BYTES ? size : 0;
     }
 
     /** Reads, and says first that it will where the client waits to be told (RFC 9110, 10.1.1). */
@@ -122,47 +124,49 @@
         if (size > MOST_BYTES) {
             fail(Fault.TOO_LARGE);
         }
-        while (keep && fault == null && bytes.hasRemaining()) {
-            if (blocks.isEmpty() || inLast == BodyRoom.BLOCK_BYTES) {
-                if (!blocks.isEmpty() && !room.take(BodyRoom.BLOCK_BYTES)) {
-                    fail(Fault.NO_ROOM);
-                    return;
-                }
-                long told = exchange.getRequestContentLength();
-                boolean first = blocks.isEmpty();
-                blocks.add(new byte[first && told >= 0 && told < BodyRoom.BLOCK_BYTES ? (int) told
-                        : BodyRoom.BLOCK_BYTES]);
-                inLast = 0;
-            }
-            byte[] last = blocks.get(blocks.size() - 1);
-            int count = Math.min(bytes.remaining(), last.length - inLast);
-            bytes.get(last, inLast, count);
-            inLast += count;
+        if (!keep || fault != null) {
+            return;
+        }
+        if (size > body.length) {
+            grow();
+        }
+        if (fault == null) {
+            bytes.get(body, (int) size - bytes.remaining(), bytes.remaining());
         }
     }
 
+    /** To the length told, or twofold; while a body moves, both its old place and its new one take room. */
+    private void grow() {
+        long told = exchange.getRequestContentLength();
+        long next = told >= 0 ? told : Math.min(MOST_BYTES, Math.max(size, Math.max(2L * body.length, FIRST_BYTES)));
+        long more = roomFor(next);
+        if (!room.take(more)) {
+            fail(Fault.NO_ROOM);
+            return;
+        }
+        body = Arrays.copyOf(body, (int) next);
+        room.give(taken);
+        taken = more;
+    }
+
     private void fail(Fault why) {
         if (fault == null) {
-            room.give(taken());
-            blocks.clear();
+            room.give(taken);
+            taken = 0;
+            body = NONE;
             fault = why;
         }
     }
 
-    private long taken() {
-        return Math.max(0, blocks.size() - 1) * (long) BodyRoom.BLOCK_BYTES;
-    }
-
+    /** The body; its room is the call's from now on. */
     private byte[] body() {
-        if (blocks.size() == 1 && inLast == blocks.get(0).length) {
-            return blocks.get(0);
-        }
-        byte[] body = new byte[blocks.isEmpty() ? 0 : (blocks.size() - 1) * BodyRoom.BLOCK_BYTES + inLast];
-        for (int i = 0; i < blocks.size(); i++) {
-            int at = i * BodyRoom.BLOCK_BYTES;
-            System.arraycopy(blocks.get(i), 0, body, at, Math.min(BodyRoom.BLOCK_BYTES, body.length - at));
+        byte[] whole = body;
+        if (whole.length > size) {
+            whole = Arrays.copyOf(body, (int) size);
+            room.give(taken - roomFor(size));
         }
-        return body;
+        body = NONE; // this is kept for as long as the exchange is
+        return whole;
     }
 
     /** Its time is over, but for what its pace has earned it. */
--- a/daemon/src/main/java/trailthread/daemon/acceptor/BodyRoom.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/BodyRoom.java
@@ -1,12 +1,12 @@
 package trailthread.daemon.acceptor;
 
 /**
- * The memory that bodies of calls may take together, from their first byte to the call's end. Short ones find room
- * always: they are bounded by the connections there may be.
+ * The memory that long bodies of calls may take together, from their first byte to the call's end. Short ones are
+ * bounded by the connections there may be.
  */
 final class BodyRoom {
-    /** Bodies are told by their whole blocks. */
-    static final int BLOCK_BYTES = 64 * 1024;
+    /** What is longer than this takes room. */
+    static final int SHORT_BYTES = 64 * 1024;
 
     private final long most;
     private long taken;
@@ -27,8 +27,4 @@
     void give(long bytes) {
         taken -= bytes;
     }
-
-    long taken() {
-        return taken;
-    }
 }
--- a/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
+++ b/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
 import org.junit.Test;
 import trailthread.testkit.Message;
@@ -183,7 +184,11 @@
     @Test
     public void longBodiesAreSentAgainAndBodiesInChunksGetALength() throws Exception {
         String body = new String(bytes(LONG), StandardCharsets.ISO_8859_1);
-        Peer worker = stage.add(new Peer(request -> request.answer("503 Busy", "X-Unprocessed: 1\r\n", "")));
+        AtomicInteger asked = new AtomicInteger();
+        Peer worker = stage.add(new Peer(request -> {
+            boolean first = asked.incrementAndGet() == 1;
+            request.answer(first ? "503 Busy" : "200 OK", first ? "X-Unprocessed: 1\r\n" : "", first ? "" : "made");
+        }));
         stage.start(Stage.SETTINGS, worker);
         String head = Stage.request("use", "", "").replaceFirst("(?s)Content-Length: 4\r\n\r\npour", "");
         Socket told = stage.connect();
@@ -192,9 +197,7 @@
         Message.send(told, body);
         assertEquals(body, worker.asked().body());
         assertEquals("sent again whole", body, worker.asked().body());
-        worker.setScript(request -> request.answer("200 OK", "", "made"));
         assertEquals("made", Message.read(told).body());
-        worker.requests.clear();
         Socket chunked = stage.connect();
         Message.send(chunked, Stage.request("use", "", "").replaceFirst("(?s)Content-Length: 4\r\n\r\npour",
                 "Transfer-Encoding: chunked\r\n\r\n"));
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -22,6 +22,11 @@
 public final class Delegation implements AnswerListener {
     /** What is longer is passed on as it comes. */
     private static final int MOST_HELD_BYTES = 64 * 1024;
+    /**
+     * An answer of untold length is held for so long from its first bytes on. Past 64 KiB its time is that of its first
+     * bytes, and a worker that brings them slowly would use it up.
+     */
+    private static final long HELD_NS = 100_000_000L;
     /** Who promises or brings more does not mean it. */
     private static final long MOST_BODY_BYTES = 32 * 1024 * 1024;
     /** An answer that is passed on and brings nothing for so long, though there is room for it, has broken. */
@@ -36,6 +41,7 @@
     private final long endsAt;
     private XnioExecutor.Key timeout;
     private XnioExecutor.Key connectTimeout;
+    private XnioExecutor.Key heldEnough;
     /** Takes back a connect that has not come up, or null. */
     private Runnable connecting;
     private HttpConnection connection;
@@ -128,6 +134,13 @@
                 MOST_BODY_BYTES, request.isHead(), this);
     }
 
+    private static XnioExecutor.Key removed(XnioExecutor.Key timer) {
+        if (timer != null) {
+            timer.remove();
+        }
+        return null;
+    }
+
     /** Its time is over. An answer that has come and was not read yet is no time-out. */
     private void late() {
         if (connection != null) {
@@ -163,6 +176,9 @@
         if (over || sink == null && answer.outcome(passed != null) != Outcome.OK) {
             return; // nobody will see it
         }
+        if (body.size() == 0 && sink == null && length < 0) {
+            heldEnough = loop.after(HELD_NS, this::begins);
+        }
         if (sink == null && body.size() + piece.remaining() <= MOST_HELD_BYTES && length <= MOST_HELD_BYTES) {
             byte[] bytes = new byte[piece.remaining()];
             piece.get(bytes);
@@ -178,13 +194,14 @@
 
     /** Passes on what is held, and all that comes from now on as it comes. */
     private boolean begins() {
+        heldEnough = removed(heldEnough);
         Made head = new Made(answer.status(), passed, new byte[0]);
         sink = listener.begins(head, length, answer.load(), this::goOn);
         if (sink == null) {
             end(Outcome.CANCELLED);
             return false;
         }
-        timeout.remove();
+        timeout = removed(timeout);
         loop.after(SILENT_NS, this::endIfSilent);
         if (body.size() > 0) {
             pass(ByteBuffer.wrap(body.toByteArray()));
@@ -261,12 +278,9 @@
         } else if (sink != null) {
             sink.broken();
         }
-        if (timeout != null) {
-            timeout.remove();
-        }
-        if (connectTimeout != null) {
-            connectTimeout.remove();
-        }
+        timeout = removed(timeout);
+        connectTimeout = removed(connectTimeout);
+        heldEnough = removed(heldEnough);
         if (connecting != null) {
             connecting.run();
         }
--- a/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
@@ -10,13 +10,16 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
 import org.junit.Test;
+import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.BalancerApi.State;
 import trailthread.engine.loop.Account;
@@ -98,6 +101,64 @@
         }
     }
 
+    /** The look before a time-out found the beginning of a long answer, and the time-out then ended it. */
+    @Test
+    public void aLongAnswerThatHasBegunIsNoTimeOut() throws Exception {
+        int length = 100_000;
+        Workers workers = workers(LONG_NS);
+        AtomicInteger passed = new AtomicInteger();
+        loop.execute(() -> workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null),
+                400 * MS, new DelegationListener() {
+                    @Override
+                    public AnswerSink begins(Made head, long told, Load load, Runnable more) {
+                        return new AnswerSink() {
+                            @Override
+                            public boolean piece(ByteBuffer piece) {
+                                passed.addAndGet(piece.remaining());
+                                return true;
+                            }
+
+                            @Override
+                            public void end() {
+                                passed.addAndGet(1);
+                            }
+
+                            @Override
+                            public void broken() {
+                                passed.set(-1);
+                            }
+                        };
+                    }
+
+                    @Override
+                    public void ended(Ending ending) {
+                        endings.add(ending);
+                    }
+                }));
+        try (Socket connection = server.accept()) {
+            readRequest(connection);
+            byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nx")
+                    .getBytes(StandardCharsets.US_ASCII);
+            loop.execute(() -> {
+                try {
+                    connection.getOutputStream().write(head);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                sleep(600);
+            });
+            loop.execute(() -> loop.after(200 * MS, () -> {
+                try {
+                    connection.getOutputStream().write(new byte[length - 1]);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }));
+            assertEquals(Outcome.OK, ending().outcome());
+            assertEquals(length + 1, passed.get());
+        }
+    }
+
     @Test
     public void aConnectionThatHasComeUpIsNoFailure() throws Exception {
         Workers workers = workers(100 * MS);
