Take back the timers of long answers at their end, as they kept bodies and exchanges

Cause: the timers that watch a long answer, 10 s on either side, were left set when it ended; each kept its delegation with the request's body, or the exchange, for as long, past the room that bodies have.

Both are taken back at the end. Ruled out: the timers of calls and of bodies, which are taken back already.

--- a/daemon/src/main/java/trailthread/daemon/acceptor/LongAnswer.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/LongAnswer.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.worker.AnswerSink;
@@ -25,6 +26,7 @@
     private ByteBuffer left;
     private boolean ends;
     private boolean over;
+    private XnioExecutor.Key look;
     /** Bytes that the client has taken, and how many these were when that was looked at last. */
     private long taken;
     private long takenBefore = -1;
@@ -36,7 +38,7 @@
         this.gone = gone;
         channel = exchange.getResponseChannel();
         channel.getWriteSetter().set(writable -> write());
-        loop.after(TAKES_WITHIN_NS, this::look);
+        look = loop.after(TAKES_WITHIN_NS, this::look);
     }
 
     @Override
@@ -74,7 +76,7 @@
     @Override
     public void broken() {
         if (!over) {
-            over = true;
+            over();
             IoUtils.safeClose(exchange.getConnection());
         }
     }
@@ -108,7 +110,7 @@
             channel.shutdownWrites();
             if (channel.flush()) {
                 channel.suspendWrites();
-                over = true;
+                over();
             } else {
                 channel.resumeWrites();
             }
@@ -122,7 +124,7 @@
         if (over) {
             return;
         }
-        over = true;
+        over();
         left = null;
         IoUtils.safeClose(exchange.getConnection());
         if (!ends) {
@@ -130,6 +132,11 @@
         }
     }
 
+    private void over() {
+        over = true;
+        look.remove(); // it would keep the exchange
+    }
+
     private void look() {
         if (over) {
             return;
@@ -140,6 +147,6 @@
             return;
         }
         takenBefore = waits ? taken : -1;
-        loop.after(TAKES_WITHIN_NS, this::look);
+        look = loop.after(TAKES_WITHIN_NS, this::look);
     }
 }
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -42,6 +42,7 @@
     private XnioExecutor.Key timeout;
     private XnioExecutor.Key connectTimeout;
     private XnioExecutor.Key heldEnough;
+    private XnioExecutor.Key silence;
     /** Takes back a connect that has not come up, or null. */
     private Runnable connecting;
     private HttpConnection connection;
@@ -202,7 +203,7 @@
             return false;
         }
         timeout = removed(timeout);
-        loop.after(SILENT_NS, this::endIfSilent);
+        silence = loop.after(SILENT_NS, this::endIfSilent);
         if (body.size() > 0) {
             pass(ByteBuffer.wrap(body.toByteArray()));
             body.reset();
@@ -231,7 +232,7 @@
             if (silentNs >= SILENT_NS) {
                 end(Outcome.RESET);
             } else {
-                loop.after(SILENT_NS - silentNs, this::endIfSilent);
+                silence = loop.after(SILENT_NS - silentNs, this::endIfSilent);
             }
         }
     }
@@ -281,6 +282,7 @@
         timeout = removed(timeout);
         connectTimeout = removed(connectTimeout);
         heldEnough = removed(heldEnough);
+        silence = removed(silence); // it would keep the request's body, too
         if (connecting != null) {
             connecting.run();
         }
