Give a body's room back when no attempt holds it, and count the door's descriptors

Cause: the room of a long body was given back with its exchange, and so while an attempt still held it after its client had left; the door's 24 connections were in nobody's share of the descriptors; the node and the node of services each passed on drain and resume by copies.

Reply.released is told once, when a call is forgotten; a call that ends in two ways is forgotten once. The door is handed who steers the node when it opens, so both nodes hand it their Drain. Its descriptors come off the clients' and workers' share where it is open.

Ruled out: the exchange's end as the sign: it comes with the client's leaving, the attempt's end later.

--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -21,7 +21,6 @@
 import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
-import trailthread.engine.meter.NodeControl;
 import trailthread.engine.meter.NodeView;
 import trailthread.engine.roster.Roster;
 import trailthread.engine.roster.RosterEntry;
@@ -32,7 +31,7 @@
 import trailthread.engine.worker.Workers;
 
 /** One node: its parts, how they are joined, its start and its end. */
-final class Node implements RosterListener, NodeView, NodeControl {
+final class Node implements RosterListener, NodeView {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /** Descriptors that the virtual machine, the listening socket and the roster take. */
     private static final int OWN_DESCRIPTORS = 48;
@@ -64,12 +63,12 @@
         this.config = config;
         loop = new Loop(config.name());
         operator = config.management() == null ? null
-                : new OperatorEndpoint(loop, config.name(), config.settings().classes, this, this);
+                : new OperatorEndpoint(loop, config.name(), config.settings().classes, this);
         Meter operators = operator == null ? Meter.OFF : operator.meter();
         service = config.levels() == null ? null
                 : new Service(loop, config.levels(), config.settings(), operators);
         meter = service == null ? operators : service;
-        int forOthers = config.sockets() - OWN_DESCRIPTORS;
+        int forOthers = config.sockets() - ownDescriptors();
         int forClients = (int) (CLIENTS_SHARE * forOthers);
         workers = new Workers(loop, config.settings().connectTimeoutNs, config.idleCloseNs(),
                 config.drainGraceNs(), ConnectionRoom.of(forOthers - forClients), config.settings().finestNs(),
@@ -90,7 +89,7 @@
      */
     void start(ServerSocketChannel given) throws IOException {
         if (operator != null) {
-            operator.listen(config.management());
+            operator.listen(config.management(), drain);
         }
         // On a shared socket the node's calls to itself could reach another process, and workers through it.
         InetSocketAddress self = acceptor.listen(given == null ? config.listen()
@@ -206,24 +205,18 @@
         return calls.avoidedWorkers();
     }
 
-    @Override
-    public boolean drain() {
-        return drain.drain();
-    }
-
-    @Override
-    public boolean resume() {
-        return drain.resume();
-    }
-
     @Override
     public int descriptorLimit() {
         return config.sockets();
     }
 
+    private int ownDescriptors() {
+        return OWN_DESCRIPTORS + (operator == null ? 0 : OperatorEndpoint.MOST_DESCRIPTORS);
+    }
+
     /** The share of the descriptors in use, as far as the node knows: its connections, and its own. */
     private double descriptors() {
-        int held = OWN_DESCRIPTORS;
+        int held = ownDescriptors();
         for (int connections : acceptor.connections().values()) {
             held += connections;
         }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -258,14 +258,9 @@
     private void take(HttpServerExchange exchange, Incoming incoming, ClientCall call, long kept) {
         ClientConnection client = ClientConnection.of(exchange);
         client.setOwner(incoming.taker().owner());
-        HttpReply reply = new HttpReply(loop, exchange, incoming.plain(), () -> connections.endsWithAnswer(client));
         long room = BodyReader.roomFor(call.body().length);
-        if (room > 0) {
-            exchange.addExchangeCompleteListener((done, next) -> {
-                bodies.give(room);
-                next.proceed();
-            });
-        }
+        HttpReply reply = new HttpReply(loop, exchange, incoming.plain(), () -> connections.endsWithAnswer(client),
+                () -> bodies.give(room));
         // The client waits from its last byte on, however long it took to send the rest.
         reply.watchClient(incoming.taker().take(call, loop.now() + call.timeLeftNs(), reply, kept));
     }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -31,19 +31,22 @@
     private final HttpServerExchange exchange;
     private final boolean plain;
     private final BooleanSupplier closing;
+    private final Runnable released;
     private boolean answered;
     /** The answer, if it is passed on as it comes; else null. */
     private LongAnswer longAnswer;
 
     /**
      * @param plain   whether a worker's status and headers are passed on
-     * @param closing whether the connection is to end with the answer
+     * @param closing  whether the connection is to end with the answer
+     * @param released runs once nothing of the call is kept
      */
-    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing) {
+    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing, Runnable released) {
         this.loop = loop;
         this.exchange = exchange;
         this.plain = plain;
         this.closing = closing;
+        this.released = released;
     }
 
     @Override
@@ -75,6 +78,11 @@
         }
     }
 
+    @Override
+    public void released() {
+        released.run();
+    }
+
     @Override
     public void overload(long retryAfterNs) {
         if (retryAfterNs > 0) {
--- a/daemon/src/main/java/trailthread/daemon/operator/Limits.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/Limits.java
@@ -13,7 +13,8 @@
  */
 record Limits(int connections, int idleMs, int headMs, long readWithinNs, long answerEveryNs,
               long acceptEveryNs, long freshNs) {
+    static final int MOST_CONNECTIONS = 24;
     /** All clients together then cost the loop some percents of its time at the most. */
     static final Limits USUAL =
-            new Limits(24, 15_000, 2_000, 10_000_000_000L, 100_000_000L, 10_000_000L, 1_000_000_000L);
+            new Limits(MOST_CONNECTIONS, 15_000, 2_000, 10_000_000_000L, 100_000_000L, 10_000_000L, 1_000_000_000L);
 }
--- a/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/OperatorEndpoint.java
@@ -40,6 +40,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(OperatorEndpoint.class);
     private static final int MOST_HEADER_BYTES = 8 * 1024;
     private static final int MOST_HEADERS = 64;
+    /** Descriptors that it holds at the most: its address, its connections, and one that is turned away. */
+    public static final int MOST_DESCRIPTORS = 2 + Limits.MOST_CONNECTIONS;
     private static final int MOST_BODY_BYTES = 4 * 1024;
     private static final int BACKLOG = 64;
     private static final String OWN_PATHS = "/-/";
@@ -48,7 +50,7 @@
     private final Loop loop;
     private final Limits limits;
     private final NodeView view;
-    private final NodeControl control;
+    private NodeControl control;
     private final NodeMetrics metrics;
     private final Bodies bodies;
     private final OperatorConnections connections;
@@ -57,16 +59,14 @@
     private boolean closed;
 
     /** Makes one that counts, and listens nowhere as yet. */
-    public OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view, NodeControl control) {
-        this(loop, name, classes, view, control, Limits.USUAL);
+    public OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view) {
+        this(loop, name, classes, view, Limits.USUAL);
     }
 
-    OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view, NodeControl control,
-                     Limits limits) {
+    OperatorEndpoint(Loop loop, String name, List<RequestClass> classes, NodeView view, Limits limits) {
         this.loop = loop;
         this.limits = limits;
         this.view = view;
-        this.control = control;
         metrics = new NodeMetrics(classes.stream().map(RequestClass::name).toList());
         String version = OperatorEndpoint.class.getPackage().getImplementationVersion();
         bodies = new Bodies(loop, name, version == null ? "unknown" : version, limits.freshNs(),
@@ -87,9 +87,11 @@
     /**
      * Opens the operators' address, and says which.
      *
+     * @param steers what operators may do to the node
      * @throws BindException if the address can't be had; the message names the key
      */
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+    public InetSocketAddress listen(InetSocketAddress address, NodeControl steers) throws IOException {
+        control = steers;
         HttpOpenListener http = new HttpOpenListener(loop.buffers(), OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER_BYTES)
                 .set(UndertowOptions.MAX_HEADERS, MOST_HEADERS)
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -22,7 +22,6 @@
 import trailthread.daemon.operator.OperatorEndpoint;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
-import trailthread.engine.meter.NodeControl;
 import trailthread.engine.meter.NodeView;
 import trailthread.engine.pool.Pool;
 import trailthread.engine.pool.PoolConfig;
@@ -32,7 +31,7 @@
 import trailthread.engine.worker.Workers;
 
 /** A node with several services, by an operator's file: its pools, the routes to them, their reload. */
-public final class ServiceNode implements NodeView, NodeControl {
+public final class ServiceNode implements NodeView {
     private static final Logger LOG = LoggerFactory.getLogger(ServiceNode.class);
     private static final int OWN_DESCRIPTORS = 48;
     private static final double CLIENTS_SHARE = 0.6;
@@ -64,11 +63,12 @@
         random = new SplittableRandom(file.seed() == null ? new SecureRandom().nextLong() : file.seed());
         idPrefix = Long.toHexString(new SecureRandom().nextLong()) + "-";
         operator = file.operatorListen() == null ? null
-                : new OperatorEndpoint(loop, file.name(), classes(file.services()), this, this);
+                : new OperatorEndpoint(loop, file.name(), classes(file.services()), this);
         meter = operator == null ? Meter.OFF : operator.meter();
         ServicesConfig services = file.services();
         shares = new Shares(loop, services.calls(), services.connections(), services.bodyBytes());
-        int forClients = (int) (CLIENTS_SHARE * (file.descriptors() - OWN_DESCRIPTORS));
+        int forClients = (int) (CLIENTS_SHARE * (file.descriptors() - OWN_DESCRIPTORS
+                - (operator == null ? 0 : OperatorEndpoint.MOST_DESCRIPTORS)));
         acceptor = new Acceptor(loop, forClients, (int) (forClients / FULL_SHARE),
                 new ServiceFront(new RouteTable(List.of()), Map.of(), this::newId), meter);
         drain = new Drain(loop, acceptor);
@@ -89,7 +89,7 @@
     /** Opens the clients' address and serves from then on. */
     public void start() throws IOException {
         if (operator != null) {
-            operator.listen(address(file.operatorListen()));
+            operator.listen(address(file.operatorListen()), drain);
         }
         loop.execute(() -> apply(file)); // before the first call can come
         InetSocketAddress listens = acceptor.listen(address(file.listen()));
@@ -222,16 +222,6 @@
         return pools.values().stream().mapToInt(Pool::avoidedWorkers).sum();
     }
 
-    @Override
-    public boolean drain() {
-        return drain.drain();
-    }
-
-    @Override
-    public boolean resume() {
-        return drain.resume();
-    }
-
     @Override
     public int descriptorLimit() {
         return file.descriptors();
--- a/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
+++ b/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
 import org.junit.Test;
@@ -207,6 +208,33 @@
         assertEquals(body, worker.asked().body());
     }
 
+    /** Its room is the call's until no attempt holds the body any more, and not for longer. */
+    @Test
+    public void theRoomOfAClientThatLeavesIsGivenBack() throws Exception {
+        Semaphore leave = new Semaphore(0);
+        Peer worker = stage.add(new Peer(request -> {
+            leave.acquireUninterruptibly();
+            request.answer("200 OK", "", "made");
+        }));
+        stage.start(Stage.SETTINGS, worker);
+        String head = Stage.request("use", "", "").replaceFirst("(?s)Content-Length: 4\r\n\r\npour", "");
+        byte[] body = bytes(LONG);
+        for (int i = 0; i < 10; i++) { // twice what there is room for
+            Socket client = stage.connect();
+            Message.send(client, head.replace("X-Correlation-Id: ", "X-Correlation-Id: " + i)
+                    + "Content-Length: " + LONG + "\r\n\r\n");
+            client.getOutputStream().write(body);
+            assertEquals(LONG, worker.asked().body().length());
+            if (i < 9) {
+                client.close();
+            }
+            leave.release();
+            if (i == 9) {
+                assertEquals("made", Message.read(client).body());
+            }
+        }
+    }
+
     @Test
     public void bodiesPastTheRoomFailAndGiveItBack() throws Exception {
         Peer worker = stage.add(Peer.serving("made"));
--- a/daemon/src/test/java/trailthread/daemon/OperatorOffTest.java
+++ b/daemon/src/test/java/trailthread/daemon/OperatorOffTest.java
@@ -30,11 +30,11 @@
         Files.list(Path.of("/proc/self/fd")).close(); // so that no class of this loads between the counts
         String before = held();
         OperatorEndpoint operator =
-                listen == null ? null : new OperatorEndpoint(loop, "n0", List.of(), new Nothing(), null);
+                listen == null ? null : new OperatorEndpoint(loop, "n0", List.of(), new Nothing());
         Meter meter = operator == null ? Meter.OFF : operator.meter();
         meter.taken("read");
         if (operator != null) {
-            operator.listen(listen);
+            operator.listen(listen, null);
         }
         System.out.println("held " + before + " then " + held());
         Runtime.getRuntime().halt(0);
--- a/daemon/src/test/java/trailthread/daemon/operator/OperatorEndpointTest.java
+++ b/daemon/src/test/java/trailthread/daemon/operator/OperatorEndpointTest.java
@@ -65,8 +65,8 @@
     }
 
     private void listen(Limits limits) throws IOException {
-        endpoint = new OperatorEndpoint(loop, "n0", List.of(READ), view, control, limits);
-        address = endpoint.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        endpoint = new OperatorEndpoint(loop, "n0", List.of(READ), view, limits);
+        address = endpoint.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), control);
     }
 
     private static Limits most(int connections) {
@@ -339,7 +339,7 @@
     public void anAddressThatCantBeHadIsNamed() throws Exception {
         listen(most(8));
         BindException e = assertThrows(BindException.class,
-                () -> new OperatorEndpoint(loop, "n1", List.of(READ), view, control).listen(address));
+                () -> new OperatorEndpoint(loop, "n1", List.of(READ), view).listen(address, control));
         assertTrue(e.getMessage(), e.getMessage().startsWith("management: "));
     }
 }
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -179,7 +179,11 @@
 
     private void forgetIfDone() {
         if (finished && delegation == null) {
-            calls.forget(id, client.id());
+            calls.forget(this, id, client.id());
         }
     }
+
+    void released() {
+        reply.released();
+    }
 }
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -142,10 +142,12 @@
         return answerSlackNs;
     }
 
-    void forget(long id, String clientsId) {
-        calls.remove(id);
-        openIds.remove(clientsId);
-        endIfDone();
+    void forget(Call call, long id, String clientsId) {
+        if (calls.remove(id, call)) { // a call that has ended may end in a second way
+            openIds.remove(clientsId);
+            call.released();
+            endIfDone();
+        }
     }
 
     // ---- actions -----------------------------------------------------------------------------------
--- a/engine/src/main/java/trailthread/engine/call/Reply.java
+++ b/engine/src/main/java/trailthread/engine/call/Reply.java
@@ -18,6 +18,13 @@
      */
     AnswerSink begin(Made head, long length, Runnable more, Runnable gone);
 
+    /**
+     * Nothing of the call is kept any more, its body neither: it has its answer or its client has gone, and no attempt
+     * is out. Told once, after all else.
+     */
+    default void released() {
+    }
+
     /** An overload reply: trying again is harmless; 0: no advice on when. */
     void overload(long retryAfterNs);
 
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -295,6 +295,11 @@
             reply.failed();
         }
 
+        @Override
+        public void released() {
+            reply.released();
+        }
+
         /** The client has gone. */
         @Override
         public void run() {
