Send bodies that find no room on as they come, with back-pressure

Need: more long bodies at once than memory holds. One that found no room got 502, or a close; of 32 MB none could be served.

Such a call is taken when the room ends: the module chooses, and the body flows to that worker as it reads (ByteSource, ByteSink, which long answers use as well). What has begun to flow can't be sent again: further attempts are moot, and the module comes to its own refusal or failure. The pace that a client owes does not count while nobody reads. An answer before the body's end is heard, and ends the client's connection. Rejection.NO_ROOM and the reader's faults are gone.

Ruled out: waiting for room (those that hold it may be as slow), a word of its own to the module (moot says it). Tests: 30 MiB with 64 MB of heap, told and in chunks; a worker that turns it away midway; a client that breaks off; room given back.

--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -198,24 +198,45 @@
             return;
         }
         long kept = incoming.call() == null ? -1 : keptFor(exchange, incoming.taker());
-        exchange.dispatch(SameThreadExecutor.INSTANCE,
-                () -> new BodyReader(loop, exchange, owedBy, kept >= 0, bodies, (body, fault) -> {
-                    if (readBy == front) {
-                        whole(exchange, incoming, body, fault, kept);
-                    } else { // what takes it now is not what took it when its head came
-                        giveUp(incoming, kept);
-                        Incoming again = front.read(exchange);
-                        whole(exchange, again, body, fault,
-                                again.call() == null ? 0 : kept < 0 ? kept : keptFor(exchange, again.taker()));
-                    }
-                }, () -> giveUp(incoming, kept)).read());
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            new BodyReader(loop, exchange, owedBy, kept >= 0, bodies, body -> {
+                if (readBy == front) {
+                    whole(exchange, incoming, body, kept);
+                } else { // what takes it now is not what took it when its head came
+                    giveUp(incoming, kept);
+                    Incoming again = front.read(exchange);
+                    whole(exchange, again, body,
+                            again.call() == null ? 0 : kept < 0 ? kept : keptFor(exchange, again.taker()));
+                }
+            }, body -> passOn(exchange, incoming, body, kept), () -> giveUp(incoming, kept)).read();
+        });
+    }
+
+    /** A call is taken whose body finds no room: it goes on as it comes. */
+    private void passOn(HttpServerExchange exchange, Incoming incoming, BodyReader body, long kept) {
+        if (incoming.taker().isOpen(incoming.call().id())) {
+            body.stop();
+            giveUp(incoming, kept);
+            Connectors.terminateRequest(exchange);
+            reject(exchange, Rejection.CONFLICT);
+            return;
+        }
+        HttpReply reply = reply(exchange, incoming, 0, body::stop);
+        Runnable gone = incoming.taker().take(incoming.call().withSource(body),
+                loop.now() + body.longestNs() + incoming.call().timeLeftNs(), reply, kept);
+        body.passOn(() -> reply.watchClient(gone), gone);
     }
 
-    private void whole(HttpServerExchange exchange, Incoming incoming, byte[] body, BodyReader.Fault fault,
-                       long kept) {
+    private HttpReply reply(HttpServerExchange exchange, Incoming incoming, long room, Runnable unread) {
+        ClientConnection client = ClientConnection.of(exchange);
+        client.setOwner(incoming.taker().owner());
+        return new HttpReply(loop, exchange, incoming.plain(), () -> connections.endsWithAnswer(client),
+                () -> bodies.give(room), unread);
+    }
+
+    private void whole(HttpServerExchange exchange, Incoming incoming, byte[] body, long kept) {
         Rejection why = incoming.call() == null ? incoming.why()
-                : fault == BodyReader.Fault.TOO_LARGE ? Rejection.TOO_LARGE
-                : fault == BodyReader.Fault.NO_ROOM ? Rejection.NO_ROOM
+                : body == null ? Rejection.TOO_LARGE
                 // the worker would take it for a copy
                 : incoming.taker().isOpen(incoming.call().id()) ? Rejection.CONFLICT : null;
         if (why == null) {
@@ -256,11 +277,7 @@
     }
 
     private void take(HttpServerExchange exchange, Incoming incoming, ClientCall call, long kept) {
-        ClientConnection client = ClientConnection.of(exchange);
-        client.setOwner(incoming.taker().owner());
-        long room = BodyReader.roomFor(call.body().length);
-        HttpReply reply = new HttpReply(loop, exchange, incoming.plain(), () -> connections.endsWithAnswer(client),
-                () -> bodies.give(room));
+        HttpReply reply = reply(exchange, incoming, BodyReader.roomFor(call.body().length), () -> { });
         // The client waits from its last byte on, however long it took to send the rest.
         reply.watchClient(incoming.taker().take(call, loop.now() + call.timeLeftNs(), reply, kept));
     }
@@ -276,7 +293,6 @@
             case TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
             case CONFLICT -> StatusCodes.CONFLICT;
             case NO_ROUTE -> StatusCodes.NOT_FOUND;
-            case NO_ROOM -> StatusCodes.BAD_GATEWAY;
         };
         exchange.setStatusCode(status);
         if (why != Rejection.NO_ROUTE || connections.endsWithAnswer(ClientConnection.of(exchange))) {
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -2,6 +2,7 @@
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -14,7 +15,7 @@
 import trailthread.engine.http.EndToEnd;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.loop.Seconds;
-import trailthread.engine.worker.AnswerSink;
+import trailthread.engine.http.ByteSink;
 import trailthread.engine.worker.Made;
 
 /** Answers one call over HTTP, and notices when its client goes away. */
@@ -32,6 +33,7 @@
     private final boolean plain;
     private final BooleanSupplier closing;
     private final Runnable released;
+    private final Runnable unread;
     private boolean answered;
     /** The answer, if it is passed on as it comes; else null. */
     private LongAnswer longAnswer;
@@ -40,13 +42,16 @@
      * @param plain   whether a worker's status and headers are passed on
      * @param closing  whether the connection is to end with the answer
      * @param released runs once nothing of the call is kept
+     * @param unread   runs before an answer that goes out while the body has not come whole
      */
-    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing, Runnable released) {
+    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing, Runnable released,
+              Runnable unread) {
         this.loop = loop;
         this.exchange = exchange;
         this.plain = plain;
         this.closing = closing;
         this.released = released;
+        this.unread = unread;
     }
 
     @Override
@@ -56,7 +61,7 @@
     }
 
     @Override
-    public AnswerSink begin(Made head, long length, Runnable more, Runnable gone) {
+    public ByteSink begin(Made head, long length, Runnable more, Runnable gone) {
         passHeaders(head);
         head(head.status());
         if (length >= 0) {
@@ -101,6 +106,11 @@
             throw new IllegalStateException("answered twice");
         }
         answered = true;
+        if (!exchange.isRequestComplete()) { // the rest of its body is not wanted
+            unread.run();
+            Connectors.terminateRequest(exchange);
+            exchange.setPersistent(false);
+        }
         exchange.setStatusCode(status);
         if (closing.getAsBoolean()) {
             exchange.setPersistent(false);
--- a/daemon/src/main/java/trailthread/daemon/acceptor/LongAnswer.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/LongAnswer.java
@@ -7,13 +7,13 @@
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import trailthread.engine.loop.Loop;
-import trailthread.engine.worker.AnswerSink;
+import trailthread.engine.http.ByteSink;
 
 /**
  * A long answer on its way to a client, piece by piece. What the client has not taken of one piece is kept until it
  * does, and no other is wanted meanwhile.
  */
-final class LongAnswer implements AnswerSink {
+final class LongAnswer implements ByteSink {
     /** A client that takes nothing for so long loses the rest, and its connection. */
     private static final long TAKES_WITHIN_NS = 10_000_000_000L;
 
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -7,7 +7,7 @@
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.engine.meter.Answer;
-import trailthread.engine.worker.AnswerSink;
+import trailthread.engine.http.ByteSink;
 import trailthread.engine.worker.Delegation;
 import trailthread.engine.worker.DelegationListener;
 import trailthread.engine.worker.Ending;
@@ -44,7 +44,7 @@
         takenAt = calls.now();
         this.reply = reply;
         this.request = new WorkerRequest(client.id(), client.requestClass(), client.method(), client.target(),
-                client.idempotencyKey(), client.body(), client.passing());
+                client.idempotencyKey(), client.body(), client.passing(), client.source(), client.timeLeftNs());
     }
 
     /** Taken: the module hears of it, and chooses. */
@@ -63,7 +63,8 @@
         long now = calls.now();
         waitedNs = attempt == 0 ? now - takenAt : waitedNs;
         long left = deadline - now;
-        if (finished || delegation != null || left <= 0) {
+        boolean spent = client.source() != null && client.source().hasBegun(); // such a body can't be sent again
+        if (finished || delegation != null || left <= 0 || spent) {
             outcome(worker, attempt, new Ending(Outcome.MOOT, 0, null, null));
             return;
         }
@@ -72,10 +73,13 @@
             @Override
             public void sent() {
                 calls.meter().attemptSent();
+                if (client.source() != null) {
+                    bodySent();
+                }
             }
 
             @Override
-            public AnswerSink begins(Made head, long length, Load told, Runnable more) {
+            public ByteSink begins(Made head, long length, Load told, Runnable more) {
                 return begun(worker, attempt, told, () -> reply.begin(head, length, more, Call.this::gone));
             }
 
@@ -87,14 +91,22 @@
         });
     }
 
+    /** The client's time counts from the last byte of its body, which has only now gone to the worker. */
+    private void bodySent() {
+        if (!finished) {
+            overdue.remove();
+            overdue = calls.loop().afterReading(client.timeLeftNs() + calls.answerSlackNs() / 2, this::overdue);
+        }
+    }
+
     /** A long answer begins: the client has it from here on, and the module makes no further attempt. */
-    private AnswerSink begun(String worker, int attempt, Load told, Supplier<AnswerSink> begin) {
+    private ByteSink begun(String worker, int attempt, Load told, Supplier<ByteSink> begin) {
         if (finished) {
             return null; // the client has gone
         }
         finish();
         streams = true;
-        AnswerSink sink = begin.get();
+        ByteSink sink = begin.get();
         calls.decisions().event(this, (module, now) -> module.firstByte(now, id, attempt));
         if (told != null) {
             calls.decisions().event(null, (module, now) ->
@@ -146,8 +158,8 @@
             calls.meter().gone(client.requestClass());
         }
         finish();
-        if (streams && delegation != null) {
-            delegation.cancel(); // nobody reads the rest
+        if (delegation != null && (streams || client.source() != null)) {
+            delegation.cancel(); // nobody reads the rest, or sends it
         }
         calls.decisions().event(null, (module, now) -> module.gone(now, id));
         forgetIfDone();
--- a/engine/src/main/java/trailthread/engine/call/Reply.java
+++ b/engine/src/main/java/trailthread/engine/call/Reply.java
@@ -1,6 +1,6 @@
 package trailthread.engine.call;
 
-import trailthread.engine.worker.AnswerSink;
+import trailthread.engine.http.ByteSink;
 import trailthread.engine.worker.Made;
 
 /** How one call is answered: by exactly one of these. */
@@ -16,7 +16,7 @@
      * @param more   to be run when there is room for more after there was none
      * @param gone   to be run if the client goes away before the end
      */
-    AnswerSink begin(Made head, long length, Runnable more, Runnable gone);
+    ByteSink begin(Made head, long length, Runnable more, Runnable gone);
 
     /**
      * Nothing of the call is kept any more, its body neither: it has its answer or its client has gone, and no attempt
--- a/engine/src/main/java/trailthread/engine/worker/AnswerSink.java
+++ b/engine/src/main/java/trailthread/engine/http/ByteSink.java
@@ -1,9 +1,9 @@
-package trailthread.engine.worker;
+package trailthread.engine.http;
 
 import java.nio.ByteBuffer;
 
-/** Where a long answer goes as it comes. */
-public interface AnswerSink {
+/** Where a long message's body goes as it comes. */
+public interface ByteSink {
     /**
      * Takes a piece, all of it; to be read before this returns.
      *
@@ -11,9 +11,9 @@
      */
     boolean piece(ByteBuffer piece);
 
-    /** The answer is whole. */
+    /** It is whole. */
     void end();
 
-    /** Nothing more comes, and the answer is not whole: who reads it must be able to tell. */
+    /** Nothing more comes, and it is not whole: who reads it must be able to tell. */
     void broken();
 }
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
@@ -29,12 +30,16 @@
     private final ConduitStreamSourceChannel source;
     private final ConduitStreamSinkChannel sink;
     private final Runnable closed;
+    private static final byte[] CRLF = {'\r', '\n'};
+    private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     /** Of a buffer on the heap, the system call copies what it is given. */
     private static final int MOST_WRITTEN_BYTES = 64 * 1024;
 
     private ByteBuffer unsent;
     /** What follows it, or null. */
     private ByteBuffer unsentBody;
+    /** The same, where it comes from elsewhere, or null. */
+    private OutgoingBody outgoing;
     private AnswerListener listener;
     private AnswerDecoder answer;
     private boolean open = true;
@@ -121,6 +126,12 @@
         write();
     }
 
+    /** The same with a body that comes from elsewhere. */
+    public void send(ByteBuffer request, ByteSource body, long mostBodyBytes, AnswerListener hears) {
+        outgoing = new OutgoingBody(body);
+        send(request, (ByteBuffer) null, mostBodyBytes, false, hears);
+    }
+
     /** Reads no further until {@link #resume}; what has been read already is still told of. */
     public void pause() {
         paused = true;
@@ -138,7 +149,8 @@
 
     /** Whether the request's last byte has been written. */
     public boolean isSent() {
-        return unsent != null && !unsent.hasRemaining() && (unsentBody == null || !unsentBody.hasRemaining());
+        return unsent != null && !unsent.hasRemaining() && (unsentBody == null || !unsentBody.hasRemaining())
+                && (outgoing == null || outgoing.isSent());
     }
 
     /** Looks at what has come by now; the listener hears of it before this returns. */
@@ -163,6 +175,9 @@
     public void close() {
         listener = null;
         answer = null;
+        if (outgoing != null && outgoing.source.hasBegun()) {
+            outgoing.source.stop();
+        }
         if (open) {
             open = false;
             IoUtils.safeClose(connection);
@@ -177,6 +192,9 @@
                 return;
             }
             sink.suspendWrites();
+            if (outgoing != null && !outgoing.goesOn()) {
+                return;
+            }
             if (listener != null && unsent != null) {
                 listener.sent();
             }
@@ -185,6 +203,83 @@
         }
     }
 
+    /** A request's body on its way: one piece of it at a time is kept until it is written. */
+    private final class OutgoingBody implements ByteSink {
+        private final ByteSource source;
+        private final boolean chunked;
+        private ByteBuffer left;
+        private boolean ended;
+
+        OutgoingBody(ByteSource source) {
+            this.source = source;
+            chunked = source.length() < 0;
+        }
+
+        boolean isSent() {
+            return ended && left == null;
+        }
+
+        /** The socket takes more; whether all has been written by now. */
+        boolean goesOn() throws IOException {
+            if (!source.hasBegun()) {
+                source.flowTo(this);
+                return false; // the last piece tells of the end itself
+            }
+            if (left == null) {
+                return false;
+            }
+            if (!write(left)) {
+                sink.resumeWrites();
+                return false;
+            }
+            left = null;
+            if (!ended) {
+                source.more(); // which may bring the end, and then tells of it
+                return false;
+            }
+            return true;
+        }
+
+        @Override
+        public boolean piece(ByteBuffer piece) {
+            ByteBuffer out = piece;
+            if (chunked) {
+                byte[] size = (Integer.toHexString(piece.remaining()) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+                out = ByteBuffer.allocate(size.length + piece.remaining() + 2).put(size).put(piece).put(CRLF).flip();
+            }
+            return put(out);
+        }
+
+        private boolean put(ByteBuffer out) {
+            try {
+                if (open && (left != null || !write(out))) {
+                    int kept = left == null ? 0 : left.remaining();
+                    ByteBuffer all = ByteBuffer.allocate(kept + out.remaining());
+                    left = (left == null ? all : all.put(left)).put(out).flip();
+                    sink.resumeWrites();
+                    return false;
+                }
+            } catch (IOException e) {
+                loop.execute(() -> fail("breaks while the body is sent")); // not from within the source's own call
+            }
+            return true;
+        }
+
+        @Override
+        public void end() {
+            ended = true;
+            boolean written = chunked ? put(ByteBuffer.wrap(LAST_CHUNK)) : left == null;
+            if (written && open && listener != null) {
+                listener.sent();
+            }
+        }
+
+        @Override
+        public void broken() {
+            fail("its body breaks off");
+        }
+    }
+
     /** Whether all of it has been written. */
     private boolean write(ByteBuffer bytes) throws IOException {
         while (bytes != null && bytes.hasRemaining()) {
@@ -246,6 +341,7 @@
                 AnswerListener hears = listener;
                 listener = null;
                 answer = null;
+                outgoing = null;
                 resume(); // for the next one
                 hears.whole();
             }
--- a/engine/src/main/java/trailthread/engine/http/RequestEncoder.java
+++ b/engine/src/main/java/trailthread/engine/http/RequestEncoder.java
@@ -20,9 +20,13 @@
         return this;
     }
 
-    /** The head of a request with a body of so many bytes, which is sent after it. */
-    public ByteBuffer encodeHead(int bodyBytes) {
-        header("Content-Length", Integer.toString(bodyBytes));
+    /** The head of a request with a body of so many bytes, or of untold length (-1), which is sent after it. */
+    public ByteBuffer encodeHead(long bodyBytes) {
+        if (bodyBytes < 0) {
+            header("Transfer-Encoding", "chunked");
+        } else {
+            header("Content-Length", Long.toString(bodyBytes));
+        }
         return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
     }
 
--- a/engine/src/main/java/trailthread/engine/meter/Rejection.java
+++ b/engine/src/main/java/trailthread/engine/meter/Rejection.java
@@ -9,7 +9,5 @@
     /** A call with its id is at work. */
     CONFLICT,
     /** No route takes it. */
-    NO_ROUTE,
-    /** There is no memory for its body just now. */
-    NO_ROOM
+    NO_ROUTE
 }
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -25,7 +25,7 @@
 import trailthread.engine.roster.RosterUpdate;
 import trailthread.engine.roster.WorkerList;
 import trailthread.engine.worker.ConnectionRoom;
-import trailthread.engine.worker.AnswerSink;
+import trailthread.engine.http.ByteSink;
 import trailthread.engine.worker.Made;
 import trailthread.engine.worker.Workers;
 
@@ -261,9 +261,9 @@
         }
 
         @Override
-        public AnswerSink begin(Made head, long length, Runnable more, Runnable clientGone) {
-            AnswerSink sink = reply.begin(head, length, more, clientGone);
-            return new AnswerSink() {
+        public ByteSink begin(Made head, long length, Runnable more, Runnable clientGone) {
+            ByteSink sink = reply.begin(head, length, more, clientGone);
+            return new ByteSink() {
                 @Override
                 public boolean piece(ByteBuffer piece) {
                     return sink.piece(piece);
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -10,6 +10,7 @@
 import trailthread.BalancerApi.Load;
 import trailthread.BalancerApi.Outcome;
 import trailthread.engine.http.AnswerListener;
+import trailthread.engine.http.ByteSink;
 import trailthread.engine.http.HttpConnection;
 import trailthread.engine.http.RequestEncoder;
 import trailthread.engine.loop.Loop;
@@ -53,7 +54,7 @@
     /** Its length as its head told it, or -1. */
     private long length = -1;
     /** Where it goes as it comes, or null: it is held. */
-    private AnswerSink sink;
+    private ByteSink sink;
     private boolean roomForMore;
     private long cameAt;
     /** The answer's headers, if they are passed on. */
@@ -112,6 +113,7 @@
         }
         connection = to;
         sentAt = now;
+        long waitsNs = request.source() == null ? endsAt - now : request.afterBodyNs();
         Passing passing = request.passing();
         RequestEncoder head = new RequestEncoder(request.method(), request.target(),
                 passing == null || passing.host().isEmpty() ? worker.hostPort : passing.host());
@@ -122,13 +124,17 @@
             }
             head.header("Via", "1.1 trailthread")
                     .header("X-Correlation-Id", request.id())
-                    .header("X-Time-Left", Seconds.format(endsAt - now));
+                    .header("X-Time-Left", Seconds.format(waitsNs));
         } else if (!request.isProbe()) {
             head.header("X-Correlation-Id", request.id())
                     .header("X-Service-Class", request.requestClass())
-                    .header("X-Time-Left", Seconds.format(endsAt - now))
+                    .header("X-Time-Left", Seconds.format(waitsNs))
                     .header("Idempotency-Key", request.idempotencyKey());
         }
+        if (request.source() != null) {
+            to.send(head.encodeHead(request.source().length()), request.source(), MOST_BODY_BYTES, this);
+            return;
+        }
         byte[] sent = request.sent();
         boolean isLong = sent != null && sent.length > MOST_HELD_BYTES; // not to be copied once more
         to.send(isLong ? head.encodeHead(sent.length) : head.encode(sent), isLong ? ByteBuffer.wrap(sent) : null,
@@ -161,6 +167,10 @@
     @Override
     public void sent() {
         sentAt = loop.now(); // a long body's own way is not the worker's time
+        if (request.source() != null && sink == null && !over) {
+            timeout = removed(timeout);
+            timeout = loop.after(request.afterBodyNs(), this::late);
+        }
         listener.sent();
     }
 
--- a/engine/src/main/java/trailthread/engine/worker/DelegationListener.java
+++ b/engine/src/main/java/trailthread/engine/worker/DelegationListener.java
@@ -1,6 +1,7 @@
 package trailthread.engine.worker;
 
 import trailthread.BalancerApi.Load;
+import trailthread.engine.http.ByteSink;
 
 /** Hears what becomes of one delegation. */
 public interface DelegationListener {
@@ -17,7 +18,7 @@
      * @param more   to be run, not from within a call to the sink, when there is room for more after there was none
      * @return where it goes, or null: nobody waits for it any more
      */
-    default AnswerSink begins(Made head, long length, Load told, Runnable more) {
+    default ByteSink begins(Made head, long length, Load told, Runnable more) {
         return null;
     }
 
--- a/engine/src/main/java/trailthread/engine/worker/WorkerRequest.java
+++ b/engine/src/main/java/trailthread/engine/worker/WorkerRequest.java
@@ -1,5 +1,7 @@
 package trailthread.engine.worker;
 
+import trailthread.engine.http.ByteSource;
+
 /**
  * What a worker is to be asked.
  *
@@ -7,12 +9,20 @@
  * @param target         path and query as the client sent them
  * @param idempotencyKey or null
  * @param passing        what else is passed on; null: this is the platform's call
+ * @param source         where the body comes from, if it is not held; else null
+ * @param afterBodyNs    how long the answer is waited for after such a body's last byte
  */
 public record WorkerRequest(String id, String requestClass, String method, String target,
-                            String idempotencyKey, byte[] body, Passing passing) {
+                            String idempotencyKey, byte[] body, Passing passing, ByteSource source, long afterBodyNs) {
     static final WorkerRequest PROBE =
             new WorkerRequest(null, null, "GET", "/status/load", null, new byte[0], null);
 
+    /** A request whose body is held. */
+    public WorkerRequest(String id, String requestClass, String method, String target, String idempotencyKey,
+                         byte[] body, Passing passing) {
+        this(id, requestClass, method, target, idempotencyKey, body, passing, null, 0);
+    }
+
     /** Whether an answer brings no body, whatever length it tells (RFC 9110, 9.3.2). */
     boolean isHead() {
         return method.equals("HEAD");
--- a/testkit/src/main/java/trailthread/testkit/Message.java
+++ b/testkit/src/main/java/trailthread/testkit/Message.java
@@ -30,6 +30,9 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
         }
+        if (headers.getOrDefault("transfer-encoding", "").equals("chunked")) {
+            return new Message(start, headers, chunks(in), connection);
+        }
         // RFC 9112, 6.3: the length in an answer to HEAD is no body's.
         int length = bodiless ? 0 : Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = in.readNBytes(length);
@@ -39,6 +42,16 @@
         return new Message(start, headers, new String(body, StandardCharsets.ISO_8859_1), connection);
     }
 
+    private static String chunks(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (int size = -1; size != 0;) {
+            size = Integer.parseInt(line(in), 16);
+            body.write(in.readNBytes(size));
+            line(in);
+        }
+        return body.toString(StandardCharsets.ISO_8859_1);
+    }
+
     private static String line(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int b = in.read(); b != '\n'; b = in.read()) {
--- a/testkit/src/main/java/trailthread/testkit/Stage.java
+++ b/testkit/src/main/java/trailthread/testkit/Stage.java
@@ -170,6 +170,19 @@
         }
     }
 
+    /** Waits until the figures at the operators' door hold this line. */
+    public void awaitFigure(String line) throws IOException, InterruptedException {
+        String figures = "";
+        for (int i = 0; i < 100 * Peer.LONGEST_WAIT_S; i++) {
+            figures = manage("GET", "/-/metrics").body();
+            if (("\n" + figures).contains("\n" + line + "\n")) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError(line + " in " + figures);
+    }
+
     /** A well-formed call of a class with a query and further headers, under an id of its own. */
     public static String request(String requestClass, String query, String headers) {
         boolean safe = requestClass.equals("state");
