Let the lab's rolling restart wait until all nodes serve again

Nothing that a node served was slow or wrong.

node_restart now goes on to the next node once all nodes serve, as a platform does, and never before its time. RollingRestartTest shows it with nodes that take seconds to start, and fails without (two out of service at once).

--- a/lab/src/main/java/trailthread/lab/real/NodeProcess.java
+++ b/lab/src/main/java/trailthread/lab/real/NodeProcess.java
@@ -33,6 +33,7 @@
     private final File root;
     private final HttpFront.Target target;
     private Process process;
+    private boolean serving;
 
     NodeProcess(RealDay day, int number, String zone, Path directory, RealDay.Program program, HttpFront.Target target)
             throws IOException {
@@ -135,6 +136,7 @@
                 public void message(HttpMessage message) {
                     wire[0].close();
                     if (of == process && message.status() == 200) {
+                        serving = true;
                         target.admitted = true;
                         target.excused = false;
                     } else {
@@ -158,14 +160,21 @@
         }
     }
 
+    @Override
+    public boolean isServing() {
+        return serving;
+    }
+
     @Override
     public void kill() {
+        serving = false;
         target.died();
         process.destroyForcibly();
     }
 
     @Override
     public void restart() {
+        serving = false;
         process.destroy();
         day.agenda().in(SOON_NS, () -> target.admitted = false);
         startWhenEnded(process);
--- a/lab/src/main/java/trailthread/lab/world/SimNode.java
+++ b/lab/src/main/java/trailthread/lab/world/SimNode.java
@@ -97,6 +97,11 @@
         return pausedUntil > world.now();
     }
 
+    @Override
+    public boolean isServing() {
+        return up && !leaving;
+    }
+
     /** New calls go elsewhere until it is back; it ends once all that it had must have been answered. */
     @Override
     public void restart() {
--- /dev/null
+++ b/lab/src/test/java/trailthread/lab/troubles/RollingRestartTest.java
@@ -0,0 +1,98 @@
+package trailthread.lab.troubles;
+
+import static org.junit.Assert.assertEquals;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.Test;
+import trailthread.lab.agenda.Agenda;
+import trailthread.lab.random.Streams;
+import trailthread.lab.scenario.Scenario.Fault;
+import trailthread.lab.scenario.Scenario.Trouble;
+
+/** However slowly nodes start, a rolling restart takes one at a time. */
+public class RollingRestartTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final Agenda agenda = new Agenda(0);
+
+    /** A node of which only restarts are asked. */
+    private final class SlowNode implements Stricken.Node {
+        private final long startsNs;
+        private boolean serving = true;
+        private int restarts;
+
+        private SlowNode(long startsNs) {
+            this.startsNs = startsNs;
+        }
+
+        @Override
+        public boolean isServing() {
+            return serving;
+        }
+
+        @Override
+        public void restart() {
+            restarts++;
+            kill();
+            agenda.in(startsNs, this::start);
+        }
+
+        @Override
+        public void kill() {
+            serving = false;
+        }
+
+        @Override
+        public void start() {
+            serving = true;
+        }
+
+        @Override
+        public void reload() {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void pause(long forNs) {
+            throw new AssertionError();
+        }
+    }
+
+    private record Nodes(List<SlowNode> nodes) implements Stricken {
+        @Override
+        public List<? extends Worker> workers() {
+            return List.of();
+        }
+
+        @Override
+        public void rosterDown(boolean down) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void cutZone(String zone) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void tail(double share, double times) {
+            throw new AssertionError();
+        }
+    }
+
+    @Test
+    public void atMostOneNodeIsOutOfServiceAndAllAreRestartedOnce() {
+        List<SlowNode> nodes = Stream.of(5 * SECOND, SECOND / 10, 7 * SECOND).map(SlowNode::new).toList();
+        Fault fault = new Fault(Trouble.NODE_RESTART, SECOND, 3 * SECOND, 1, 0, 0, null);
+        Troubles.arrange(agenda, new Streams(3), List.of(fault), new Nodes(nodes));
+        nodes.get(0).kill(); // out of service already when the restart is due
+        agenda.at(4 * SECOND, nodes.get(0)::start);
+        for (int i = 1; i < 300; i++) {
+            agenda.runUntil(i * SECOND / 10);
+            long out = nodes.stream().filter(n -> !n.isServing()).count();
+            assertEquals("out of service at " + agenda.now(), Math.min(1, out), out);
+        }
+        assertEquals(List.of(1, 1, 1), nodes.stream().map(n -> n.restarts).toList());
+    }
+}
