Test figures, failing and repeated new versions and quick retunes over sockets

FiguresOverSocketsTest holds the figures against what a scripted worker saw: reset, error, broken long answer, time-out, client that left, bad call. NewVersionTest kills new processes on their way, and replaces versions three times. RetuneTest writes 21 files at once; the last holds. Files are replaced by renaming, as a reader under way must find one whole. Meter says when a call is taken.

Measured: no code of the node changed.

--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/FiguresOverSocketsTest.java
@@ -0,0 +1,79 @@
+package trailthread.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.After;
+import org.junit.Test;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
+
+/** The operators' figures against what scripted peers saw, however calls end. */
+public class FiguresOverSocketsTest {
+    private final Stage stage;
+
+    public FiguresOverSocketsTest() throws Exception {
+        stage = new Stage();
+        stage.more = "\"management\":\"127.0.0.1:0\",";
+    }
+
+    @After
+    public void end() throws Exception {
+        stage.end();
+    }
+
+    @Test
+    public void eachCallIsCountedOnceHoweverItEnds() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        Peer worker = stage.add(Peer.serving("made"));
+        worker.setScript(request -> {
+            switch (request.start().replaceAll(".*how=(\\w+) .*", "$1")) {
+                case "reset" -> request.connection().close();
+                case "error" -> request.answer("500 Error", "", "");
+                case "held" -> Peer.await(over);
+                case "long" -> {
+                    Message.send(request.connection(), "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+                    Message.send(request.connection(), "x".repeat(100_000));
+                    request.connection().close();
+                }
+                default -> request.answer("200 OK", "", "made");
+            }
+        });
+        stage.start(Stage.SETTINGS, worker);
+        stage.awaitFigure("app_answered{group=\"use\"} 0");
+        int sends = 0;
+        for (String how : new String[] {"reset", "error", "served"}) {
+            assertEquals(how, how.equals("served") ? 200 : 502, ask(how, "20.000").status());
+            sends++;
+        }
+        Socket cut = stage.connect();
+        Message.send(cut, Stage.request("use", "?how=long", ""));
+        int came = cut.getInputStream().readAllBytes().length;
+        assertTrue("passed on until it broke off: " + came, came > 64 * 1024 && came < 200_000);
+        assertEquals("its time is over", 502, ask("held", "0.500").status());
+        sends += 2;
+        stage.awaitFigure("app_current 0");
+        Socket leaves = stage.connect();
+        Message.send(leaves, Stage.request("use", "?how=held", ""));
+        stage.awaitFigure("app_current 1");
+        stage.awaitFigure("app_sends " + ++sends);
+        leaves.close();
+        stage.awaitFigure("app_current 0");
+        assertEquals(400, stage.call("none").status());
+        stage.awaitFigure("app_answered{group=\"use\"} 1");
+        stage.awaitFigure("app_deferred{group=\"use\"} 0");
+        stage.awaitFigure("app_errored{group=\"use\"} 4");
+        stage.awaitFigure("app_sends " + sends);
+        assertEquals("what the worker saw", sends, worker.requests.size());
+        over.countDown();
+    }
+
+    private Message ask(String how, String seconds) throws Exception {
+        Socket client = stage.connect();
+        Message.send(client, Stage.request("use", "?how=" + how, "").replace("20.000", seconds));
+        return Message.read(client);
+    }
+}
--- a/daemon/src/test/java/trailthread/daemon/NewVersionTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NewVersionTest.java
@@ -46,11 +46,8 @@
     public void theOldOneEndsItsCallsAndTheNewOneTakesAllFurtherOnes() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
         Peer worker = stage.add(new Peer(request -> {
-            try {
-                boolean held = request.start().startsWith("POST /use");
-                assertTrue(!held || answer.await(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
+            if (request.start().startsWith("POST /use")) {
+                Peer.await(answer);
             }
             request.answer("200 OK", "", "made");
         }));
@@ -84,6 +81,52 @@
         assertEquals("workers heard of clients' calls alone", CALLS + 3, worker.requests.size());
     }
 
+    private int door(int process) throws Exception {
+        return Integer.parseInt(holder.logged("operators are told on .*:(\\d+)", process));
+    }
+
+    @Test
+    public void aNewProcessThatDiesChangesNothing() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        Files.writeString(config, stage.config(Stage.SETTINGS, worker));
+        start();
+        holder.logged(SERVES, 1);
+        for (int i = 2; i < 4; i++) {
+            long dies = start();
+            door(i); // it is on its way
+            assertTrue(ProcessHandle.of(dies).orElseThrow().destroyForcibly());
+            assertEquals("made", stage.call("use").body());
+        }
+        Files.writeString(config, "{");
+        start();
+        holder.logged("LB_CONFIG|JSON", 1);
+        for (int i = 0; i < CALLS; i++) {
+            assertEquals("made", stage.call("use").body());
+        }
+        assertEquals(200, Stage.manage(door(1), "GET", "/-/ready").status());
+    }
+
+    @Test
+    public void versionsFollowOneAnotherAlsoWhileOneIsDrained() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        Files.writeString(config, stage.config(Stage.SETTINGS, worker));
+        long old = start();
+        holder.logged(SERVES, 1);
+        for (int i = 2; i < 5; i++) {
+            boolean drained = i == 3;
+            if (drained) {
+                assertEquals(200, Stage.manage(door(i - 1), "POST", "/-/drain").status());
+            }
+            long next = start();
+            holder.logged(SERVES, i);
+            assertEquals(200, Stage.manage(door(i), "GET", "/-/ready").status());
+            assertEquals(drained ? 503 : 200, Stage.manage(door(i - 1), "GET", "/-/ready").status());
+            Holder.terminate(old);
+            assertEquals("made", stage.call("use").body());
+            old = next;
+        }
+    }
+
     @Test
     public void whatIsNoListeningSocketIsNamed() throws Exception {
         for (String told : List.of("0", "3", "x")) {
--- a/daemon/src/test/java/trailthread/daemon/RetuneTest.java
+++ b/daemon/src/test/java/trailthread/daemon/RetuneTest.java
@@ -5,7 +5,6 @@
 
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
 import trailthread.testkit.Message;
@@ -32,14 +31,7 @@
     @Test
     public void classesComeAndGoAndCallsUnderWayKeepTheirs() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        Peer worker = stage.add(new Peer(request -> {
-            try {
-                assertTrue(answer.await(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
-            request.answer("200 OK", "", "made");
-        }));
+        Peer worker = stage.add(Peer.servingAfter(answer, "made"));
         stage.start(Stage.SETTINGS, worker);
         assertEquals(400, stage.call("study").status());
         Socket atWork = stage.connect();
@@ -76,6 +68,26 @@
         assertTrue(worker.requests.size() + other.requests.size() - before <= 1);
     }
 
+    @Test
+    public void filesInQuickSuccessionEndInTheNewest() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        for (int i = 0; i < 20; i++) {
+            stage.reload(stage.config(i % 2 == 0 ? OTHERS : Stage.SETTINGS, worker));
+        }
+        stage.reload(stage.config(OTHERS, worker));
+        boolean newest = false;
+        for (int i = 0; !newest && i < 10 * Peer.LONGEST_WAIT_S; i++) {
+            newest = stage.call("study").status() == 200;
+            Thread.sleep(newest ? 0 : 100);
+        }
+        assertTrue("the newest is taken", newest);
+        stage.reload("{");
+        stage.awaitFigure("app_conf_invalid 1"); // all before it have been read
+        assertEquals(200, stage.call("study").status());
+        assertEquals(400, stage.call("use").status());
+    }
+
     @Test
     public void nothingIsTakenFromABrokenFile() throws Exception {
         Peer worker = stage.add(Peer.serving("made"));
--- a/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
@@ -6,7 +6,6 @@
 
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
 import trailthread.testkit.Message;
@@ -54,14 +53,7 @@
     @Test
     public void onSigtermItServesOnThenFinishesWhatItHasTakenAndEndsWell() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        Peer worker = stage.add(new Peer(request -> {
-            try {
-                answer.await(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
-            request.answer("200 OK", "", "made");
-        }));
+        Peer worker = stage.add(Peer.servingAfter(answer, "made"));
         stage.start(Stage.SETTINGS, worker);
         Socket before = stage.connect();
         Message.send(before, Stage.request("use", "", ""));
--- a/engine/src/main/java/trailthread/engine/meter/Meter.java
+++ b/engine/src/main/java/trailthread/engine/meter/Meter.java
@@ -11,7 +11,10 @@
     /** Where nobody wants to know. */
     Meter OFF = new NoMeter();
 
-    /** A call was taken; it ends with {@link #answered} or {@link #gone}, once. */
+    /**
+     * A call was taken: it has come whole or, where its body is passed on, its body has begun to find no room. It ends
+     * with {@link #answered} or {@link #gone}, once; a long answer ends with its last byte from the worker.
+     */
     void taken(String requestClass);
 
     /**
--- a/testkit/src/main/java/trailthread/testkit/Peer.java
+++ b/testkit/src/main/java/trailthread/testkit/Peer.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -41,6 +42,25 @@
         return new Peer(request -> request.answer("200 OK", "", body));
     }
 
+    /** A peer that makes this body of every request, once the latch is open. */
+    public static Peer servingAfter(CountDownLatch open, String body) throws IOException {
+        return new Peer(request -> {
+            await(open);
+            request.answer("200 OK", "", body);
+        });
+    }
+
+    /** Waits for what must come. */
+    public static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(LONGEST_WAIT_S, TimeUnit.SECONDS)) {
+                throw new AssertionError("it was to come");
+            }
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     public String hostPort() {
         return "127.0.0.1:" + server.getLocalPort();
     }
--- a/testkit/src/main/java/trailthread/testkit/Stage.java
+++ b/testkit/src/main/java/trailthread/testkit/Stage.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -163,7 +164,12 @@
     public Message manage(String method, String path) throws IOException, InterruptedException {
         Matcher at = DOOR.matcher(logged("operators are told on"));
         assertTrue(at.find());
-        try (Socket operator = new Socket(InetAddress.getLoopbackAddress(), Integer.parseInt(at.group(1)))) {
+        return manage(Integer.parseInt(at.group(1)), method, path);
+    }
+
+    /** The same at a door of another process. */
+    public static Message manage(int door, String method, String path) throws IOException {
+        try (Socket operator = new Socket(InetAddress.getLoopbackAddress(), door)) {
             operator.setSoTimeout(1000 * Peer.LONGEST_WAIT_S);
             Message.send(operator, method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
             return Message.read(operator);
@@ -196,7 +202,8 @@
 
     /** Replaces the configuration and says so, as the platform does. */
     public void reload(String json) throws IOException, InterruptedException {
-        Files.writeString(config, json);
+        Path beside = Files.writeString(Path.of(config + ".new"), json);
+        Files.move(beside, config, StandardCopyOption.ATOMIC_MOVE); // a reading under way finds the old one whole
         signal("HUP");
     }
 
