Compare lines of held requests by identity, without code made at first use

Cause: the first look at held requests compared lines as records, and Java makes a record's equals at first use: 19 classes spun within the 50 ms that a start has for drilling the module's decisions (a trace of loaded classes, and the caller by a debugger). Two lines are equal only if they are the same, so they are now told apart by the deque that each owns. Decisions do not change.

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -832,7 +832,7 @@
         if (held == 0) {
             return;
         }
-        List<Line> blocked = new ArrayList<>();
+        List<ArrayDeque<Request>> blocked = new ArrayList<>(); // by identity: records compare by code made at first use
         double whole = (settings.goalWhole + settings.goalWorstWindow) / askedWorth.inSpan(now);
         Party worstClass = worst(classes, now);
         Party worstTenant = worst(tenants, now);
@@ -844,7 +844,7 @@
             for (int i = 0; i < lines.size(); i++) {
                 Line l = lines.get(i);
                 trim(l, now);
-                if (!blocked.contains(l) && !l.requests.isEmpty()) {
+                if (!blocked.contains(l.requests) && !l.requests.isEmpty()) {
                     double part = whole + (l.c == worstClass ? ofClass : 0);
                     part += l.tenant != null && l.tenant == worstTenant ? ofTenant : 0;
                     double value = part * worthPerWork(l.requests.peekLast(), now);
@@ -863,7 +863,7 @@
             } else if (!best.again && best.c.rules.semantics() == Semantics.SAFE) {
                 break; // no backend is open to the least bound of requests
             } else {
-                blocked.add(best);
+                blocked.add(best.requests);
             }
         }
         if (held > 0) {
