--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -832,7 +832,7 @@
         if (held == 0) {
             return;
         }
-        List<ArrayDeque<Request>> blocked = new ArrayList<>(); // by identity: records compare by code made at first use
+        List<ArrayDeque<Request>> blocked = new ArrayList<>(); // told apart by identity
         double whole = (settings.goalWhole + settings.goalWorstWindow) / askedWorth.inSpan(now);
         Party worstClass = worst(classes, now);
         Party worstTenant = worst(tenants, now);
