End a planned restart once no client's connection is left, not once none has a call

Cause, from the trace of a node that ended at that moment (n50, 13 ms from the first close to the process's end):

Acceptor.close set `closing` and then went through the idle connections; the close listener of the first one called reportClosed, which asked only whether one was busy (noneBusy), and let the process halt while the others had not had their last look. The first close takes 3 to 20 ms of the node's clock, as its code is loaded for it, so requests arrive meanwhile, and are reset with the process.

Ruled out: the listening socket closed under connections not yet accepted (none opened after the close in any trace, and no loop was late); calls cut by the longest wait ("halts false" never came); a call under way (no busy one was closed).

Change: ClientConnections owns every end. end() reads what has come and closes only what has neither called nor begun to speak; a planned end, a drain, crowds and idle clients use it (closeAll, closeWhile, closeUnused and closeUnlessItCalls are gone). Connections whose last answer is written are a state of their own, "leaving", so that the end waits for their clients too. The process ends when none is left in any state. Half a head used to be closed by the last look that had read it; now it has time for its rest.

--- a/daemon/src/main/java/trailthread/daemon/Drain.java
+++ b/daemon/src/main/java/trailthread/daemon/Drain.java
@@ -54,7 +54,7 @@
 
     private void closeIdle(int mine) {
         if (goesOn(mine)) {
-            acceptor.closeIdle();
+            acceptor.endUnused();
             loop.after(IDLE_ENDS_EVERY_NS, () -> closeIdle(mine));
         }
     }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -50,8 +50,6 @@
     private boolean shared;
     private boolean ready;
     private boolean drained;
-    private boolean closing;
-    private Runnable closed;
 
     /**
      * @param mostConnections past these, further ones wait to be accepted
@@ -115,10 +113,7 @@
 
     private void opened(StreamConnection connection, HttpOpenListener http) {
         ClientConnection client = connections.opened(connection);
-        connection.setCloseListener(ended -> {
-            connections.closed(client);
-            reportClosed();
-        });
+        connection.setCloseListener(ended -> connections.closed(client));
         http.handleEvent(connection);
     }
 
@@ -137,9 +132,9 @@
         this.drained = drained;
     }
 
-    /** Closes what idles, after a last look at what has come on it; what has just connected has time to speak. */
-    public void closeIdle() {
-        connections.closeIdle();
+    /** Ends connections that carry no call, without loss; what has just connected has time to speak. */
+    public void endUnused() {
+        connections.endUnused();
     }
 
     /** How many connections there are in each state. */
@@ -157,9 +152,12 @@
         connections.endWithAnswers(end);
     }
 
-    /** Takes no further connections; those open end after the call that they carry. */
+    /**
+     * Takes no further connections; those open end, after the call that they carry.
+     *
+     * @param whenDone runs when none is left
+     */
     public void close(Runnable whenDone) {
-        closed = whenDone;
         // Guards the calls of those that have connected and were not accepted yet, as the thread that accepts
         // runs late as well: with the listening socket, their connections would be reset.
         boolean late = loop.turns().latenessNs(System.nanoTime()) > LATE_NS;
@@ -168,20 +166,10 @@
                 IoUtils.safeClose(server);
             }
             // What the thread that accepts has handed over last is not opened here yet.
-            loop.after(HANDED_OVER_WITHIN_NS, () -> loop.afterSockets(() -> {
-                closing = true;
-                connections.closeUnused();
-                reportClosed();
-            }));
+            loop.after(HANDED_OVER_WITHIN_NS, () -> loop.afterSockets(() -> connections.endAll(whenDone)));
         });
     }
 
-    private void reportClosed() {
-        if (closing && connections.noneBusy()) {
-            closed.run();
-        }
-    }
-
     private void handle(HttpServerExchange exchange) {
         long owedBy = track(exchange);
         if (exchange.getRequestURI().equals(front.readyPath())) {
@@ -269,9 +257,8 @@
         ClientConnection client = ClientConnection.of(exchange);
         long owedBy = connections.began(client);
         exchange.addExchangeCompleteListener((done, next) -> {
-            connections.ended(client);
+            connections.ended(client, exchange.isPersistent());
             next.proceed();
-            reportClosed();
         });
         return owedBy;
     }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/ClientConnections.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/ClientConnections.java
@@ -10,13 +10,13 @@
 import trailthread.engine.loop.Loop;
 
 /**
- * The connections from clients, bounded. Guards against clients that take connections and make no use of
- * them: silent ones, heads that never end, those kept for good after one call. Each of them holds a
+ * The connections from clients, bounded, and how each ends. Guards against clients that take connections and make no
+ * use of them: silent ones, heads that never end, those kept for good after one call. Each of them holds a
  * descriptor that a client with a call needs.
  *
- * <p>No call that has come whole is lost to a close: what has come on a connection is read before it is
- * closed, as a loop that runs late finds its timers due before it has looked at its sockets. An answer that
- * says that it is the last one can't cross a call at all, so where there are many, answers end them.
+ * <p>No call is lost to an end, whoever asks for it: see {@link #end(ClientConnection, long)}, the one place where a
+ * connection ends between calls. An answer that says that it is the last one can't cross a call at all, so where there
+ * are many, and where the node leaves, answers end them. docs/restarts.md tells what a client sees at each moment.
  */
 final class ClientConnections {
     /** A connection brings the head of its first call whole within this, and any head once it has begun. */
@@ -35,6 +35,8 @@
      * the connections that it has.
      */
     private static final double IDLE_SHARE = 0.3;
+    /** However few there are. */
+    private static final double ALL = 0;
     /** Past this share, those that have been kept for long enough are closed. */
     private static final double KEPT_SHARE = 0.5;
     /**
@@ -53,9 +55,13 @@
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     /** Those with a call. */
     private final Set<ClientConnection> busy = new LinkedHashSet<>();
+    /** Those whose last answer has been written: their clients are to read it, and to close. */
+    private final Set<ClientConnection> leaving = new LinkedHashSet<>();
     /** How many idle after calls of each owner, where connections have owners. */
     private final Map<Object, Integer> idleOf = new IdentityHashMap<>();
     private boolean ending;
+    /** What runs once none is open, where all are to end; else null. */
+    private Runnable whenNone;
 
     /**
      * @param mayHold how many connections clients with calls may hold; past it they find no further one
@@ -68,6 +74,9 @@
 
     private void lookAgain() {
         makeRoom();
+        if (whenNone != null) {
+            endUnused();
+        }
         loop.after(LOOKED_AT_EVERY_NS, this::lookAgain);
     }
 
@@ -87,13 +96,23 @@
         return Math.max((first ? client.since() : now) + HEAD_WITHIN_NS, now + REST_WITHIN_NS);
     }
 
-    void ended(ClientConnection client) {
-        if (busy.remove(client) && client.isOpen()) {
-            client.idles(loop.now());
-            idle.add(client);
-            if (client.owner() != null) {
-                idleOf.merge(client.owner(), 1, Integer::sum);
-            }
+    /**
+     * Its call has its answer.
+     *
+     * @param kept whether it may bring another
+     */
+    void ended(ClientConnection client, boolean kept) {
+        if (!busy.remove(client) || !client.isOpen()) {
+            return;
+        }
+        client.idles(loop.now());
+        if (!kept) {
+            leaving.add(client);
+            return;
+        }
+        idle.add(client);
+        if (client.owner() != null) {
+            idleOf.merge(client.owner(), 1, Integer::sum);
         }
     }
 
@@ -116,6 +135,8 @@
         silent.remove(client);
         idlesNoMore(client);
         busy.remove(client);
+        leaving.remove(client);
+        tellIfNone();
     }
 
     /** Whether the answer to what this one carries is to end it, so that others find room. */
@@ -129,41 +150,50 @@
         this.ending = ending;
     }
 
-    boolean noneBusy() {
-        return busy.isEmpty();
+    /** Ends those that idle, and those that have been silent for a while. */
+    void endUnused() {
+        long now = loop.now();
+        endWhile(ALL, idle, now, REST_WITHIN_NS);
+        endWhile(ALL, silent, now - SPEAKS_WITHIN_NS, REST_WITHIN_NS);
     }
 
-    /** Closes all that idle and have brought no call by now, and those that have been silent for a while. */
-    void closeIdle() {
-        closeAll(idle, Long.MAX_VALUE);
-        closeAll(silent, loop.now() - SPEAKS_WITHIN_NS);
+    /**
+     * Ends all: those that carry no call by and by, the others with their answers, see {@link #endWithAnswers}.
+     *
+     * @param whenNone runs when none is left. Guards the calls that lie unread on one while another ends: with the
+     *                 process, they would be reset
+     */
+    void endAll(Runnable whenNone) {
+        this.whenNone = whenNone;
+        endUnused();
+        tellIfNone();
     }
 
-    /** Closes all that carry no call, and have brought none by now. */
-    void closeUnused() {
-        closeAll(idle, Long.MAX_VALUE);
-        closeAll(silent, Long.MAX_VALUE);
+    private void tellIfNone() {
+        if (whenNone != null && size() == 0) {
+            whenNone.run();
+        }
     }
 
     private void makeRoom() {
         long now = loop.now();
-        closeAll(silent, now - HEAD_WITHIN_NS);
-        closeAll(idle, now - IDLE_NS);
+        endWhile(ALL, silent, now - HEAD_WITHIN_NS, 0);
+        endWhile(ALL, idle, now - IDLE_NS, HEAD_WITHIN_NS);
         for (ClientConnection client : halfHeard(now)) {
-            idlesNoMore(client);
-            closeUnlessItCalls(client);
+            end(client, HEAD_WITHIN_NS);
         }
-        closeWhile(KEPT_SHARE, idle, now - KEPT_AT_LEAST_NS);
-        closeWhile(KEPT_SHARE, silent, now - SPEAKS_WITHIN_NS);
-        closeWhile(CROWDED_SHARE, idle, now - CROWDED_NS);
-        closeWhile(CROWDED_SHARE, silent, now - CROWDED_NS);
+        endWhile(KEPT_SHARE, idle, now - KEPT_AT_LEAST_NS, HEAD_WITHIN_NS);
+        endWhile(KEPT_SHARE, silent, now - SPEAKS_WITHIN_NS, HEAD_WITHIN_NS);
+        endWhile(CROWDED_SHARE, idle, now - CROWDED_NS, CROWDED_NS);
+        endWhile(CROWDED_SHARE, silent, now - CROWDED_NS, CROWDED_NS);
+        endWhile(CROWDED_SHARE, leaving, now - CROWDED_NS, CROWDED_NS);
     }
 
     /** Those that have served a call and are late with the rest of the next one's head. */
     private List<ClientConnection> halfHeard(long now) {
         List<ClientConnection> late = new ArrayList<>();
         for (ClientConnection client : idle) {
-            if (client.speaksSince() > 0 && client.speaksSince() < now - HEAD_WITHIN_NS) {
+            if (client.speaksSince() > 0 && client.speaksSince() <= now - HEAD_WITHIN_NS) {
                 late.add(client);
             }
         }
@@ -171,46 +201,46 @@
     }
 
     Map<String, Integer> byState() {
-        return Map.of("silent", silent.size(), "idle", idle.size(), "busy", busy.size());
+        return Map.of("silent", silent.size(), "idle", idle.size(), "busy", busy.size(), "leaving", leaving.size());
     }
 
     private int size() {
-        return silent.size() + idle.size() + busy.size();
+        return silent.size() + idle.size() + busy.size() + leaving.size();
     }
 
-    private void closeAll(Set<ClientConnection> clients, long since) {
-        while (!clients.isEmpty() && clients.iterator().next().since() <= since) {
-            close(clients.iterator().next());
-        }
-    }
-
-    /** Closes the first of these that have been so since then or before, while there are over a share. */
-    private void closeWhile(double share, Set<ClientConnection> clients, long since) {
-        if (size() <= share * mayHold || clients.isEmpty() || clients.iterator().next().since() > since) {
+    /**
+     * Ends the first of these that have been so since then or before, while there are over a share.
+     *
+     * @param restWithinNs see {@link #end}
+     */
+    private void endWhile(double share, Set<ClientConnection> clients, long since, long restWithinNs) {
+        if (clients.isEmpty() || size() <= share * mayHold || clients.iterator().next().since() > since) {
             return; // the usual case, and nothing to copy
         }
         for (ClientConnection client : List.copyOf(clients)) {
             if (client.since() > since || size() <= share * mayHold) {
                 return;
             }
-            // One that has begun to speak may be slow, as long as there is no crowd.
-            boolean speaks = share < CROWDED_SHARE && client.speaksSince() > 0;
-            if (!speaks && makesRoom(client.owner())) {
-                close(client);
+            if (share == ALL || makesRoom(client.owner())) {
+                end(client, restWithinNs);
             }
         }
     }
 
-    private void close(ClientConnection client) {
-        silent.remove(client);
-        idlesNoMore(client);
-        closeUnlessItCalls(client);
-    }
-
-    /** Closes one that is in none of the sets, but if what has come on it is a call, which puts it back. */
-    private void closeUnlessItCalls(ClientConnection client) {
+    /**
+     * Ends one that carries no call. What has come on it is read first: a loop that runs late finds its timers due
+     * before it has looked at its sockets. A call that has come whole is taken, and the connection stays; one that has
+     * come in part has time for the rest. What comes after this look has not been read, and its client, who sees the
+     * connection end before any answer, sends it once more.
+     *
+     * @param restWithinNs how long after its first byte the rest of a head may come
+     */
+    private void end(ClientConnection client, long restWithinNs) {
+        long since = client.since();
         client.serveWhatHasCome();
-        if (!busy.contains(client) && !idle.contains(client)) {
+        boolean called = busy.contains(client) || client.since() != since;
+        boolean speaks = client.speaksSince() > loop.now() - restWithinNs;
+        if (!called && !speaks) {
             client.close();
         }
     }
--- a/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -229,6 +230,48 @@
         assertTrue("the end comes", done.await(30, TimeUnit.SECONDS));
     }
 
+    /** It came with the end of the first of them: what lay unread on the others was reset with the process. */
+    @Test
+    public void theEndComesOnceNoConnectionIsLeft() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            Socket idle = connect();
+            send(idle);
+            answer(idle);
+        }
+        CompletableFuture<Integer> left = new CompletableFuture<>();
+        loop.execute(() -> acceptor.close(() -> left.complete(
+                acceptor.connections().values().stream().mapToInt(Integer::intValue).sum())));
+        assertEquals(0, (int) left.get(30, TimeUnit.SECONDS));
+    }
+
+    /** Closed at a last look that read their first part, both ended unanswered. */
+    @Test
+    public void atTheEndAHeadThatHasBegunHasTimeForItsRest() throws Exception {
+        Socket kept = connect();
+        send(kept);
+        answer(kept);
+        List<Socket> callers = List.of(kept, connect());
+        for (Socket client : callers) {
+            client.getOutputStream().write("POST /use HTTP/1.1\r\nHost: a\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+        CountDownLatch closing = new CountDownLatch(1);
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> acceptor.endWithAnswers(true));
+        loop.execute(() -> {
+            acceptor.endUnused();
+            acceptor.close(done::countDown);
+            closing.countDown();
+        });
+        closing.await();
+        for (Socket client : callers) {
+            client.getOutputStream().write(("X-Correlation-Id: h" + client.getLocalPort()
+                    + "\r\nX-Service-Class: use\r\nX-Time-Left: 20\r\nContent-Length: 4\r\n\r\npour")
+                    .getBytes(StandardCharsets.US_ASCII));
+            assertTrue(answer(client).contains("Connection: close\r\n"));
+        }
+        assertTrue("the end comes", done.await(30, TimeUnit.SECONDS));
+    }
+
     /** Where many idle, a client that keeps its connection for good keeps others out. */
     @Test
     public void whereManyIdleAnswersEndTheirConnections() throws Exception {
