Let cold workers share one budget in a node, as one for each mostly stood full

Warm servers were crowded past their pace while those that had just come stood idle. At that age a cold server has 0.7 of its capacity by the most careful reading of the settings, and got a fifth of a warm one's work.

Cause: coldBudget kept a bucket of one request for each cold backend. One of 93 nodes sends 10 requests a second to 78 backends; its sure part of one cold backend is 0.14 a second, and the lottery draws it 0.07 times a second. A bucket that holds one and is full most of the time loses what flows in meanwhile: of the two rates together 1 / (1/0.14 + 1/0.07) = 0.045 a second were left.

Ruled out: the list (n went from 60 to 84 and back as servers came and went, the new ones were known); refused connects (they were sent on at once, 4% of attempts); ejection (failures 0 at cold servers); the node's own time (first attempt after 0.9 ms, median).

Change: one bucket for all cold backends of a node, filled by the sum of their sure parts, that holds one for each. What a backend may be sent by the whole fleet stays what it was; a new one still brings a part by chance. It is filled once a placement, which also spares a walk of the list for each cold backend. Not taken: a deeper bucket for each (a hundred nodes with two or three saved up are a burst past the rule), a larger COLD_MARGIN (the draw is what binds, and the margin is for what nobody knows).

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -122,6 +122,9 @@
     private int out;
     private double roomInAll = 1, outRounding;
     private long closedUntil, partAgainAt;
+    /** What cold backends may be sent, in requests, by then. */
+    private double coldTokens;
+    private long coldAt;
     private double[] tickets = new double[16], predicted = new double[16];
     /** How often each key came of late, and all together. */
     private final Map<Long, Double> keySeen = new LinkedHashMap<>();
@@ -513,6 +516,7 @@
         if (trustAll && due(Note.MOST_FAIL, now)) {
             actions.log("ejecting none: most of " + mine.size() + " backends fail; is this node cut off?");
         }
+        fillColdBudget(now);
         boolean lenient = r.sent > 0 && now - r.sentAt[r.sent - 1] > tightestAim / 8;
         double best = Double.MAX_VALUE;
         for (int i = 0; i < mine.size(); i++) {
@@ -677,7 +681,7 @@
         b.outstanding++;
         out++;
         b.sentSince++;
-        b.coldTokens = Math.max(0, b.coldTokens - 1);
+        coldTokens -= b.coldness(settings, now) < 1 ? 1 : 0;
         actions.send(r.id, patience(r, b, now), b.name);
     }
 
@@ -709,7 +713,7 @@
                 return false;
             }
         }
-        return b == null || b.state == State.READY && coldBudget(b, now);
+        return b == null || b.state == State.READY && (coldTokens >= 1 || b.coldness(settings, now) >= 1);
     }
 
     private static boolean sameGroup(Group group, Backend a, Backend b) {
@@ -721,27 +725,25 @@
     }
 
     /**
-     * Whether a cold backend can take one more: a bucket that fills with this node's sure part of what it
-     * bears. Danger: one at a time from each of hundreds of nodes pushes it over. Capacity is taken from what
-     * backends serve to this node; over all nodes that adds up to no more than the true one, however traffic
-     * is split. The bucket starts filled by chance, as a new backend is announced to all nodes at once.
+     * Fills the bucket that cold backends share with this node's sure part of what they bear. Dangers: one at
+     * a time from each of hundreds of nodes pushes one over; were there a bucket for each, most would be full
+     * while the lottery is elsewhere. Capacity is taken from what backends serve to this node; over all nodes
+     * that adds up to no more than the true one, however traffic is split. A new one brings a part by chance,
+     * as it is announced to all nodes at once.
      */
-    private boolean coldBudget(Backend b, long now) {
-        double share = b.coldness(settings, now);
-        if (share >= 1) {
-            return true;
-        }
-        double capacity = 0;
-        for (int i = 0; i < mine.size(); i++) {
-            capacity += mine.get(i).coldness(settings, now);
+    private void fillColdBudget(long now) {
+        double all = 0, cold = 0, count = 0;
+        for (Backend b : mine) {
+            double share = b.coldness(settings, now);
+            all += share;
+            cold += share < 1 ? share : 0;
+            count += share < 1 ? 1 : 0;
         }
-        capacity = served.inSpan(now) / settings.fallNs / Math.max(1, capacity);
-        double sure = COLD_MARGIN * settings.fallMultiple * share * capacity;
-        double rate = Math.max(sure, 1 / (sharers * meanAim));
-        b.coldTokens = b.coldTokens < 0 ? random.nextDouble() : b.coldTokens + rate * (now - b.coldAt);
-        b.coldTokens = Math.min(1, b.coldTokens);
-        b.coldAt = now;
-        return b.coldTokens >= 1;
+        double capacity = served.inSpan(now) / settings.fallNs / Math.max(1, all);
+        double rate = Math.max(COLD_MARGIN * settings.fallMultiple * cold * capacity,
+                count / (sharers * meanAim));
+        coldTokens = Math.min(count, coldTokens + rate * (now - coldAt));
+        coldAt = now;
     }
 
     // ---- answers -----------------------------------------------------------------------------------
@@ -945,6 +947,7 @@
             askAgainIn(Math.min(LAST_ASK_AGAIN, FIRST_ASK_AGAIN * (1 << Math.min(failedCalls++, 8))));
             return;
         }
+        fillColdBudget(now);
         if (kind != ListKind.DELTA) {
             listed.forEach(b -> b.state = State.GONE);
         }
@@ -1025,6 +1028,7 @@
                 listed.set(listed.indexOf(b), fresh);
             }
             b = fresh;
+            coldTokens += e.readyAtNs() > Math.max(0, now - settings.coldNs) ? random.nextDouble() : 0;
         }
         b.apply(e);
     }
@@ -1176,9 +1180,6 @@
         int rests, failures;
         long ejectedUntil;
         double limit;
-        /** What it may be sent while cold, in requests; -1: not yet begun. */
-        double coldTokens = -1;
-        long coldAt;
 
         Backend(String name) {
             this.name = name;
