Spread failed calls for the list over the asking period, by the number of nodes

Cause: Balancer.list repeated a failed call after 1/32 of the asking period, twice that each time up to 1/4, within 20% of jitter. For three nodes that is gentle; a hundred call ten times a second and more, in step, while discovery takes 69 ms for a list. Each call waits 2 s in vain and seems to take its time in the line all the same, so those behind it wait in vain as well.

Ruled out: discovery being down (it told the watches that were left at 16 and 22.5 s, each time when the line had run empty); the roster's own time-outs (503 came first); a bad list (none was malformed).

Change: all nodes together repeat 200 failed calls in an asking period, half as many each time, until each node makes one in two periods (it is deemed told after four), each within half to one and a half of that. Reason in the settings: ask_every_ns is what they allow a node to let pass, and replicas_of_me says how many do the same. 200 keeps a wave of a hundred within half of one period. Not taken: a spread of the first call as well, which would keep the list from each node of an ordinary restart.

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -87,9 +87,10 @@
     private static final double GOAL_MEMORY = 20;
     /** Held requests are looked at again this often, as a share of the tightest aim. */
     private static final double RELEASE_SHARE = 1.0 / 20;
-    /** A failed list call is repeated after this share of the asking period, doubling up to the second. */
-    private static final double FIRST_ASK_AGAIN = 1.0 / 32;
-    private static final double LAST_ASK_AGAIN = 1.0 / 4;
+    /** A list call that brings nothing is repeated after this share of the asking period. */
+    private static final double ASK_AGAIN = 1.0 / 4;
+    /** Failed ones: all nodes repeat so many in a period, half as many each time, down to one in two by each. */
+    private static final double CALLS_AGAIN = 200, LAST_ASK_AGAIN = 2;
 
     /** Kinds of timer, in the low bits of a token; the rest is the request's id. */
     private static final int TIMER_DEADLINE = 0, TIMER_ASK = 1, TIMER_RELEASE = 2, TIMER_POLL = 3;
@@ -119,12 +120,10 @@
     private final Pace pool = new Pace();
     /** What answers take beyond the service time that backends report. */
     private double waits;
-    private int out;
     private double roomInAll = 1, outRounding;
-    private long closedUntil, partAgainAt;
-    /** What cold backends may be sent, in requests, by then. */
+    private long closedUntil, partAgainAt, coldAt, askSerial;
+    /** What cold backends may be sent, in requests. */
     private double coldTokens;
-    private long coldAt;
     private double[] tickets = new double[16], predicted = new double[16];
     /** How often each key came of late, and all together. */
     private final Map<Long, Double> keySeen = new LinkedHashMap<>();
@@ -135,8 +134,7 @@
     /** Means of this node's requests; the aim by worth. */
     private double meanWork, meanLatency, meanAim, finest;
     private boolean releaseTimerSet, watching, polling;
-    private int pollNext, failedCalls;
-    private long askSerial;
+    private int pollNext, failedCalls, out;
     private final long[] notedAt = new long[Note.values().length];
 
     /** A {@link Events#list} should follow; throws IllegalArgumentException that names a bad setting. */
@@ -944,7 +942,9 @@
             if (due(Note.LIST_FAILED, now)) {
                 actions.log("list call failed: going on with the last list of " + listed.size());
             }
-            askAgainIn(Math.min(LAST_ASK_AGAIN, FIRST_ASK_AGAIN * (1 << Math.min(failedCalls++, 8))));
+            // Danger: a fleet that repeats in step what waits in vain keeps the list from all of its nodes.
+            double share = settings.nodes / CALLS_AGAIN * (1 << Math.min(failedCalls++, 16));
+            askAgainIn((0.5 + random.nextDouble()) * Math.min(LAST_ASK_AGAIN, share));
             return;
         }
         fillColdBudget(now);
@@ -1051,7 +1051,7 @@
 
     private void ask() {
         actions.watch(true);
-        askAgainIn(LAST_ASK_AGAIN);
+        askAgainIn(ASK_AGAIN);
     }
 
     private void askAgainIn(double share) {
