--- a/decisions/src/test/java/trailthread/ColdBudgetTest.java
+++ b/decisions/src/test/java/trailthread/ColdBudgetTest.java
@@ -55,7 +55,8 @@
         double fair = COLD * 0.5 / (WARM + COLD * 0.5);
         for (long seed = 1; seed <= 3; seed++) {
             double share = shareOfTheCold(seed);
-            System.err.println("SHARE " + share); if (false) assertTrue("of " + fair + ": " + share, share > 0.4 * fair && share < 1.3 * fair);
+            assertTrue("of " + fair + ": " + share, share > 0.4 * fair);
+            assertTrue("of " + fair + ": " + share, share < 1.3 * fair);
         }
     }
 }
