Keep warm-up calls from workers also when they are read after the warm-up

The node's log: "warmed up with 1 calls, the last one not served", 0.7 s after "operators are told": the first call was given up after its 500 ms (WarmUp.next, CALL_WITHIN_NS), Node.start then set the front without the warm-up before it, and what had been written on the call's connection was read only after that: PlatformFront, CallDecoder and Calls.take took it for a client's, and it went to a worker.

Ruled out: that a client used the id (it holds the node's seed); that the warm-up's own module sent it on (its only worker is the node itself, and is dropped from its list before the front changes).

Change: the warm-up stays between the front and the calls, and answers one of its own that comes late with a failure. A warm-up call that took its whole time is no reason to stop warming up: the node began cold just where it is slowest.

Test: StartAndStopTest.aWarmUpCallThatIsReadTooLateReachesNoWorker; with the fix taken out it fails (200 for 502).

--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -49,6 +49,7 @@
     private final Loop loop;
     private final Workers workers;
     private final Calls calls;
+    private final WarmUp warmUp;
     private final PlatformFront front;
     private final Roster roster;
     private final Acceptor acceptor;
@@ -76,7 +77,8 @@
         calls = new Calls(loop, workers, config.settings(), config.seed(), meter);
         roster = new Roster(loop, config.discovery(), this);
         calls.setRoster(roster);
-        front = new PlatformFront(config.settings().classes, calls);
+        warmUp = new WarmUp(loop, config, calls);
+        front = new PlatformFront(config.settings().classes, warmUp);
         acceptor = new Acceptor(loop, forClients, Math.min(forClients, (int) (CALLERS_SHARE * config.sockets())),
                 front, meter);
         drain = new Drain(loop, acceptor);
@@ -97,10 +99,7 @@
         loop.execute(() -> {
             roster.known(config.known());
             list(ListKind.CACHED, config.known());
-            WarmUp warmUp = new WarmUp(loop, config, calls);
-            acceptor.setFront(new PlatformFront(config.settings().classes, warmUp));
-            warmUp.start(self, askAround(warmUp), given != null, () -> {
-                acceptor.setFront(front);
+            warmUp.start(self, askAround(), given != null, () -> {
                 if (drain.hasEnded()) {
                     return; // told to end before it was ready: what it accepts now it might not answer
                 }
@@ -126,7 +125,7 @@
     }
 
     /** Asks some workers for their load, if it may; whether it does. */
-    private boolean askAround(WarmUp warmUp) {
+    private boolean askAround() {
         List<String> some = config.known().instances().stream()
                 .filter(worker -> worker.lifecycle() == State.READY).limit(ASKED_AT_START)
                 .map(RosterEntry::instanceId).toList();
--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -32,7 +32,8 @@
 /**
  * Takes calls of the node's own through the whole path before clients come, so that their first calls do not
  * wait for classes to load and code to be compiled. The node is client and worker of these calls, over its
- * own address; a module of their own decides on them, and no real worker hears of them.
+ * own address; a module of their own decides on them, and no real worker hears of them: one that was given up
+ * may lie unread until long after the last, so each call that is read is looked at, for as long as the node runs.
  */
 final class WarmUp implements CallTaker {
     private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
@@ -73,6 +74,7 @@
     private boolean hurried;
     private boolean patient;
     private int count;
+    private boolean over;
 
     WarmUp(Loop loop, NodeConfig config, CallTaker real) {
         this.loop = loop;
@@ -126,11 +128,14 @@
     }
 
     private void next(Ending last) {
-        boolean works = last == null || last.outcome() == Outcome.OK || last.outcome() == Outcome.ERROR;
+        // On a busy machine the first call alone may take its whole time: the next ones find what it has loaded.
+        boolean works = last == null || last.outcome() == Outcome.OK || last.outcome() == Outcome.ERROR
+                || last.outcome() == Outcome.TIMEOUT;
         if (count == MOST_CALLS || count >= LEAST_CALLS && loop.now() > endsAt || !works) {
             LOG.info("warmed up with {} calls{}{}", count, hurried ? ", as workers are busy" : "",
                     works ? "" : ", the last one not served");
             workers.update(new RosterUpdate(0, true, List.of()), loop.now());
+            over = true;
             done.run();
             return;
         }
@@ -157,6 +162,10 @@
         if (!call.id().startsWith(prefix)) {
             return real.take(call, deadline, reply);
         }
+        if (over) {
+            reply.failed();
+            return () -> { };
+        }
         if (count % CALLS_A_REFUSAL == 0) {
             reply.overload(CALL_WITHIN_NS);
             return () -> { };
--- a/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
@@ -35,6 +35,22 @@
         worker.wasNotAsked();
     }
 
+    /**
+     * On a machine that was put off its cores, a warm-up call was given up and lay unread until the node had begun to
+     * serve; it then went to a worker, which knows no such call.
+     */
+    @Test
+    public void aWarmUpCallThatIsReadTooLateReachesNoWorker() throws Exception {
+        Peer worker = stage.add(Peer.serving("made"));
+        stage.start(Stage.SETTINGS, worker);
+        Socket late = stage.connect();
+        Message.send(late, Stage.request("use", "", "").replaceFirst("X-Correlation-Id: .*",
+                "X-Correlation-Id: warm-up-8c1f30d27a5be964-1"));
+        assertEquals(502, Message.read(late).status());
+        worker.wasNotAsked();
+        assertEquals("made", stage.call("use").body());
+    }
+
     /** A node that comes back to a fleet at work is waited for; one of an idle fleet may take its time. */
     @Test
     public void aStartIsShorterWhereWorkersAreBusy() throws Exception {
