Let the time until which an attempt may be written go with it from the module

Balancer.permits looks at the window when it decides and leaves 100 ms for the connect; the rule leaves 50 ms more. Delegation.send looked at the drain only: a keyed repeat, an attempt whose time was over and one whose client had gone were written whenever their turn came.

Change: Actions.send says until when the attempt may be written: the deadline, for a keyed repeat the window's end if that is earlier. The host looks at its clock at the first byte, beside the drain, and before each further part (AnswerListener.mayBeWritten); what comes too late ends as MOOT, as does what has not begun when its client goes. The margin at the decision stays as it was: the simulator's wire has no later look.

The same fault elsewhere: HttpConnection.isSent waited for a body's end to be told, in a later turn perhaps, after the last byte of its told length had been written; a connection that broke between told CONNECT_FAILED, and the call was refused as one that never ran. X-Unprocessed was believed if the first of several said 1.

Ruled out by reading and by OutcomeByMomentTest: outcomes before and after the last byte, cut, early and unreadable answers, interim heads; a second call with an id at work (409); refusals, which only Balancer.mayRefuse allows; connections with a call, which ClientConnections.end leaves alone.

--- a/adapter/src/main/java/trailthread/adapter/WireWriter.java
+++ b/adapter/src/main/java/trailthread/adapter/WireWriter.java
@@ -104,7 +104,7 @@
         }
 
         @Override
-        public void send(long id, long timeoutNs, String backend) {
+        public void send(long id, long timeoutNs, long writtenBy, String backend) {
             begin(instance, "forward");
             number(id);
             number(timeoutNs);
--- a/daemon/src/main/java/trailthread/daemon/ModuleDrill.java
+++ b/daemon/src/main/java/trailthread/daemon/ModuleDrill.java
@@ -68,7 +68,7 @@
     }
 
     @Override
-    public void send(long request, long timeoutNs, String backend) {
+    public void send(long request, long timeoutNs, long writtenBy, String backend) {
         out.add(new Attempt(request, 0, now + ANSWER_NS));
     }
 
--- a/daemon/src/test/java/trailthread/daemon/ModuleDrillTest.java
+++ b/daemon/src/test/java/trailthread/daemon/ModuleDrillTest.java
@@ -23,9 +23,9 @@
         List<Long> refused = new ArrayList<>();
         ModuleDrill drill = new ModuleDrill(settings, 1) {
             @Override
-            public void send(long request, long timeoutNs, String backend) {
+            public void send(long request, long timeoutNs, long writtenBy, String backend) {
                 sent[0]++;
-                super.send(request, timeoutNs, backend);
+                super.send(request, timeoutNs, writtenBy, backend);
             }
 
             @Override
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -669,6 +669,7 @@
     // ---- gate --------------------------------------------------------------------------------------
 
     private void send(Request r, Backend b, long now) {
+        long writtenBy = Math.min(r.deadline, r.repeatedBy());
         r.backends[r.sent] = b;
         r.sentAt[r.sent] = now;
         r.outAtSend[r.sent] = b.outstanding;
@@ -680,7 +681,7 @@
         out++;
         b.sentSince++;
         coldTokens -= b.coldness(settings, now) < 1 ? 1 : 0;
-        actions.send(r.id, patience(r, b, now), b.name);
+        actions.send(r.id, patience(r, b, now), writtenBy, b.name);
     }
 
     /**
@@ -700,26 +701,12 @@
     /** Whether an attempt may go to this backend now, or, with null, to any backend at all. */
     private boolean permits(Request r, Backend b, long now) {
         if (r.ended || r.streaming || r.sent >= r.most(settings) || now >= r.deadline
-                || r.open > 0 && !settings.secondCopies) {
+                || r.open > 0 && !settings.secondCopies
+                || now + settings.connectTimeoutNs >= r.repeatedBy()) {
             return false;
         }
-        int first = r.firstThatMayHaveRun();
-        if (first >= 0 && r.c.rules.semantics() != Semantics.SAFE) {
-            if (r.c.rules.semantics() == Semantics.UNSAFE
-                    || now + settings.connectTimeoutNs >= r.sentAt[first] + r.c.rules.windowNs()
-                    || b != null && !sameGroup(r.c.rules.group(), r.backends[first], b)) {
-                return false;
-            }
-        }
-        return b == null || b.state == State.READY && (coldTokens >= 1 || b.coldness(settings, now) >= 1);
-    }
-
-    private static boolean sameGroup(Group group, Backend a, Backend b) {
-        return switch (group) {
-            case ALL -> true;
-            case ZONE -> a.zone.equals(b.zone);
-            case CELL -> a == b || a.cell >= 0 && a.cell == b.cell;
-        };
+        return b == null || b.state == State.READY && r.droppedBy(b)
+                && (coldTokens >= 1 || b.coldness(settings, now) >= 1);
     }
 
     /**
@@ -798,11 +785,7 @@
             return r.deadline;
         }
         long last = (c.lateWorth() > 0 ? r.deadline : r.aimAt) - (long) (meanLatency / 2);
-        int first = r.firstThatMayHaveRun();
-        if (first >= 0 && c.semantics() != Semantics.SAFE) {
-            last = Math.min(last, r.sentAt[first] + c.windowNs() - settings.connectTimeoutNs);
-        }
-        return last;
+        return Math.min(last, r.repeatedBy() - settings.connectTimeoutNs);
     }
 
     private Line lineOf(Request r) {
@@ -1113,6 +1096,24 @@
             return -1;
         }
 
+        /** Until when one more attempt may be written, by what those before it may have done. */
+        long repeatedBy() {
+            int first = firstThatMayHaveRun();
+            return first < 0 || c.rules.semantics() == Semantics.SAFE ? Long.MAX_VALUE
+                    : c.rules.semantics() == Semantics.UNSAFE ? 0 : sentAt[first] + c.rules.windowNs();
+        }
+
+        /** Whether the backend drops a repeat of what may have run; any will do where none needs to. */
+        boolean droppedBy(Backend b) {
+            int first = firstThatMayHaveRun();
+            Backend a = first < 0 || c.rules.semantics() != Semantics.KEYED ? b : backends[first];
+            return switch (c.rules.group()) {
+                case ALL -> true;
+                case ZONE -> a.zone.equals(b.zone);
+                case CELL -> a == b || a.cell >= 0 && a.cell == b.cell;
+            };
+        }
+
         boolean tried(Backend b) {
             return sent > 0 && Arrays.asList(backends).contains(b);
         }
--- a/decisions/src/main/java/trailthread/BalancerApi.java
+++ b/decisions/src/main/java/trailthread/BalancerApi.java
@@ -42,7 +42,7 @@
         RESET(true),
         /** Called off by this node. */
         CANCELLED(true),
-        /** Never sent: the request was over, or out of time or attempts. */
+        /** Never sent, or not to its last byte: the request was over, or out of time or attempts. */
         MOOT(false);
 
         private final boolean mayHaveRun;
@@ -254,8 +254,15 @@
 
     /** What the balancer asks of its host, in order, within the event being handled. */
     public interface Actions {
-        /** Start an attempt; they are numbered from 0 by request. */
-        void send(long id, long timeoutNs, String backend);
+        /**
+         * Start an attempt; they are numbered from 0 by request.
+         *
+         * @param timeoutNs how long to wait for its end; 0: until the client gives up
+         * @param writtenBy by the clock of the events: what has not been written by then never is. A host
+         *                  that writes later than it was asked to looks at its clock first, and tells
+         *                  {@link Outcome#MOOT} where it is too late
+         */
+        void send(long id, long timeoutNs, long writtenBy, String backend);
 
         /** Final answer: turned away, harmless to try again; {@code retryAfterNs} 0: no advice. */
         void refuse(long id, long retryAfterNs);
--- a/decisions/src/test/java/trailthread/Script.java
+++ b/decisions/src/test/java/trailthread/Script.java
@@ -18,7 +18,7 @@
     static final long MS = 1_000_000L;
 
     /** One send, in the order of its request's. */
-    record Send(long id, String backend, long at, int attempt) {
+    record Send(long id, String backend, long at, int attempt, long writtenBy) {
     }
 
     /** One timer that is still to come due. */
@@ -115,8 +115,8 @@
     }
 
     @Override
-    public void send(long id, long timeoutNs, String backend) {
-        sends.add(new Send(id, backend, now, sendsOf(id).size()));
+    public void send(long id, long timeoutNs, long writtenBy, String backend) {
+        sends.add(new Send(id, backend, now, sendsOf(id).size(), writtenBy));
         transcript.append("send ").append(id).append(' ').append(timeoutNs).append(' ').append(backend)
                 .append('\n');
     }
--- a/decisions/src/test/java/trailthread/levels/Fleet.java
+++ b/decisions/src/test/java/trailthread/levels/Fleet.java
@@ -254,7 +254,7 @@
         }
 
         @Override
-        public void send(long id, long timeoutNs, String backend) {
+        public void send(long id, long timeoutNs, long writtenBy, String backend) {
             Call call = calls.get((int) id);
             call.sentAt = call.sentAt < 0 ? now : call.sentAt;
             sent[Integer.parseInt(backend)]++;
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -56,8 +56,8 @@
                 client.workNs(), deadline, client.account(), client.repeat(), client.entity()));
     }
 
-    /** The choice: a worker, and how long to wait for it; 0: as long as the client does. */
-    void delegate(String worker, long timeoutNs) {
+    /** The choice: a worker, how long to wait for it (0: as long as the client does), and until when it is written. */
+    void delegate(String worker, long timeoutNs, long writtenBy) {
         int attempt = delegations++;
         calls.meter().attemptBegun(worker);
         long now = calls.now();
@@ -69,7 +69,7 @@
             return;
         }
         long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
-        delegation = calls.workers().delegate(worker, request, wait, new DelegationListener() {
+        delegation = calls.workers().delegate(worker, request, wait, writtenBy, new DelegationListener() {
             @Override
             public void sent() {
                 calls.meter().attemptSent();
@@ -152,14 +152,14 @@
         }
     }
 
-    /** No answer: the client has gone. What is out at a worker comes to its own end. */
+    /** No answer: the client has gone. What has been written to a worker comes to its own end, all else is not. */
     void gone() {
         if (!finished) {
             calls.meter().gone(client.requestClass());
         }
         finish();
-        if (delegation != null && (streams || client.source() != null)) {
-            delegation.cancel(); // nobody reads the rest, or sends it
+        if (delegation != null && (streams || client.source() != null || !delegation.isSent())) {
+            delegation.cancel(); // nobody reads the rest, or sends it, or waits for what has not begun
         }
         calls.decisions().event(null, (module, now) -> module.gone(now, id));
         forgetIfDone();
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -153,10 +153,10 @@
     // ---- actions -----------------------------------------------------------------------------------
 
     @Override
-    public void send(long id, long timeoutNs, String backend) {
+    public void send(long id, long timeoutNs, long writtenBy, String backend) {
         Call call = calls.get(id);
         if (call != null) {
-            call.delegate(backend, timeoutNs);
+            call.delegate(backend, timeoutNs, writtenBy);
         }
     }
 
--- a/engine/src/main/java/trailthread/engine/call/Decisions.java
+++ b/engine/src/main/java/trailthread/engine/call/Decisions.java
@@ -72,8 +72,8 @@
     Actions queueing(Actions target) {
         return new Actions() {
             @Override
-            public void send(long id, long timeoutNs, String backend) {
-                asked.add(() -> target.send(id, timeoutNs, backend));
+            public void send(long id, long timeoutNs, long writtenBy, String backend) {
+                asked.add(() -> target.send(id, timeoutNs, writtenBy, backend));
             }
 
             @Override
--- a/engine/src/main/java/trailthread/engine/http/AnswerListener.java
+++ b/engine/src/main/java/trailthread/engine/http/AnswerListener.java
@@ -5,6 +5,11 @@
 
 /** Hears one answer as it comes: its head, its body in pieces, and its end or that there will be none. */
 public interface AnswerListener {
+    /** Asked before each part of the request is written; a no ends the connection, and {@link #broken} follows. */
+    default boolean mayBeWritten() {
+        return true;
+    }
+
     /** The request's last byte has been written. */
     default void sent() {
     }
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -208,16 +208,20 @@
         private final ByteSource source;
         private final boolean chunked;
         private ByteBuffer left;
+        /** Bytes that have yet to come; below 0: its end will tell. */
+        private long toCome;
         private boolean ended;
         private boolean broke;
 
         OutgoingBody(ByteSource source) {
             this.source = source;
-            chunked = source.length() < 0;
+            toCome = source.length();
+            chunked = toCome < 0;
         }
 
+        /** Its last byte has been written, whether or not its end was told. */
         boolean isSent() {
-            return ended && left == null && !broke;
+            return left == null && !broke && (ended || toCome == 0);
         }
 
         /** The socket takes more; whether all has been written by now. */
@@ -244,6 +248,7 @@
         @Override
         public boolean piece(ByteBuffer piece) {
             ByteBuffer out = piece;
+            toCome -= piece.remaining();
             if (chunked) {
                 byte[] size = (Integer.toHexString(piece.remaining()) + "\r\n").getBytes(StandardCharsets.US_ASCII);
                 out = ByteBuffer.allocate(size.length + piece.remaining() + 2).put(size).put(piece).put(CRLF).flip();
@@ -274,7 +279,7 @@
             if (chunked) {
                 put(ByteBuffer.wrap(LAST_CHUNK));
             }
-            if (isSent() && open && listener != null) {
+            if (isSent() && open && this == outgoing && listener != null) {
                 listener.sent();
             }
         }
@@ -292,6 +297,9 @@
             if (bytes.position() >= end) {
                 return false;
             }
+            if (listener != null && !listener.mayBeWritten()) {
+                throw new IOException("its time is over");
+            }
             int count = Math.min(bytes.remaining(), MOST_WRITTEN_BYTES);
             int written = sink.write(bytes.slice(bytes.position(), count));
             if (written == 0) {
@@ -345,7 +353,8 @@
             return;
         }
         if (answer == decoder && decoder.isWhole()) {
-            if (!decoder.isLasting() || !isSent() || bytes.hasRemaining()) {
+            boolean isDone = isSent() && (outgoing == null || outgoing.ended);
+            if (!decoder.isLasting() || !isDone || bytes.hasRemaining()) {
                 whole();
             } else {
                 AnswerListener hears = listener;
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -40,6 +40,8 @@
     private final DelegationListener listener;
     private final long startedAt;
     private final long endsAt;
+    /** From then on no byte of it may be written. */
+    private final long writtenBy;
     private XnioExecutor.Key timeout;
     private XnioExecutor.Key connectTimeout;
     private XnioExecutor.Key heldEnough;
@@ -62,7 +64,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
 
     Delegation(Loop loop, Connections connections, Worker worker, WorkerRequest request, long timeoutNs,
-               DelegationListener listener) {
+               long writtenBy, DelegationListener listener) {
         this.loop = loop;
         this.connections = connections;
         this.worker = worker;
@@ -70,6 +72,7 @@
         this.listener = listener;
         startedAt = loop.now();
         endsAt = startedAt + timeoutNs;
+        this.writtenBy = writtenBy;
     }
 
     void start() {
@@ -105,8 +108,9 @@
 
     private void send(HttpConnection to) {
         long now = loop.now();
-        if (!worker.takesNew(now, connections.drainGraceNs)) {
-            // The drain became known while the send was on its way; the rule counts the first byte.
+        if (!worker.takesNew(now, connections.drainGraceNs) || now >= endsAt || !mayBeWritten()) {
+            // What was right when it was decided may not be so any more: a drain has become known, a worker no longer
+            // drops this as a repeat, or nobody waits for it. The rules count from when it is written.
             connections.keep(worker, to);
             end(Outcome.MOOT);
             return;
@@ -148,6 +152,11 @@
         return null;
     }
 
+    @Override
+    public boolean mayBeWritten() {
+        return loop.now() < writtenBy;
+    }
+
     /** Its time is over. An answer that has come and was not read yet is no time-out. */
     private void late() {
         if (connection != null) {
@@ -156,14 +165,19 @@
         if (sink != null) {
             return; // that look has found the beginning of a long one
         }
-        end(isSent() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        end(isSent() ? Outcome.TIMEOUT : unsent());
     }
 
     /** Whether the worker may run it: the request's last byte has been written. */
-    private boolean isSent() {
+    public boolean isSent() {
         return connection != null && connection.isSent();
     }
 
+    /** What has become of it that was not written whole: the worker is not to blame for what came too late to it. */
+    private Outcome unsent() {
+        return mayBeWritten() ? Outcome.CONNECT_FAILED : Outcome.MOOT;
+    }
+
     @Override
     public void sent() {
         sentAt = loop.now(); // a long body's own way is not the worker's time
@@ -262,12 +276,12 @@
     @Override
     public void broken(String how) {
         answer = null; // a load report that came with it is worth no more than the rest
-        end(isSent() ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        end(isSent() ? Outcome.RESET : unsent());
     }
 
-    /** Stops waiting. */
+    /** Stops waiting; what has not been written whole by then never is. */
     public void cancel() {
-        end(Outcome.CANCELLED);
+        end(isSent() ? Outcome.CANCELLED : Outcome.MOOT);
     }
 
     private void end(Outcome outcome) {
--- a/engine/src/main/java/trailthread/engine/worker/WorkerAnswer.java
+++ b/engine/src/main/java/trailthread/engine/worker/WorkerAnswer.java
@@ -11,7 +11,8 @@
     private static final HttpString LOAD = new HttpString("X-Backend-Load");
 
     static WorkerAnswer decode(int status, HeaderMap headers) {
-        return new WorkerAnswer(status, "1".equals(headers.getFirst(UNPROCESSED)), load(headers));
+        boolean told = headers.count(UNPROCESSED) == 1 && "1".equals(headers.getFirst(UNPROCESSED));
+        return new WorkerAnswer(status, told, load(headers));
     }
 
     /** The first report that can be read: one that can't does not spoil the answer, nor the next report. */
--- a/engine/src/main/java/trailthread/engine/worker/Workers.java
+++ b/engine/src/main/java/trailthread/engine/worker/Workers.java
@@ -83,15 +83,23 @@
         return connections.byState();
     }
 
+    /** Starts a delegation that may be written for as long as its answer is waited for. */
+    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs,
+                               DelegationListener listener) {
+        return delegate(instanceId, request, timeoutNs, Long.MAX_VALUE, listener);
+    }
+
     /**
      * Starts a delegation.
      *
-     * @param listener hears of it, never from within this call
+     * @param timeoutNs how long its answer is waited for
+     * @param writtenBy no byte is written then or later, by {@link Loop#now}
+     * @param listener  hears of it, never from within this call
      */
-    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs,
+    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs, long writtenBy,
                                DelegationListener listener) {
         Worker worker = workers.get(instanceId);
-        Delegation delegation = new Delegation(loop, connections, worker, request, timeoutNs, listener);
+        Delegation delegation = new Delegation(loop, connections, worker, request, timeoutNs, writtenBy, listener);
         loop.execute(() -> account.charge(delegation::start));
         return delegation;
     }
--- a/engine/src/test/java/trailthread/engine/call/DecisionsTest.java
+++ b/engine/src/test/java/trailthread/engine/call/DecisionsTest.java
@@ -35,7 +35,7 @@
         }));
         decisions.setModule(logged(Events.class, () -> {
             if (log.size() == 1) {
-                seen.send(7, 0, "w");
+                seen.send(7, 0, Long.MAX_VALUE, "w");
                 seen.watch(true);
             }
         }));
--- a/engine/src/test/java/trailthread/engine/http/HttpConnectionTest.java
+++ b/engine/src/test/java/trailthread/engine/http/HttpConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
 
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
@@ -135,6 +136,47 @@
                 + "x".repeat(length)).array());
     }
 
+    /** Until its end was told, an attempt whose every byte had been written passed for one that never ran. */
+    @Test
+    public void aBodyOfAToldLengthIsSentWithItsLastByte() throws Exception {
+        HttpConnection connection = connect();
+        Socket worker = server.accept();
+        loop.execute(() -> connection.send(ascii("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n"), new ByteSource() {
+            private boolean begun;
+
+            @Override
+            public long length() {
+                return 4;
+            }
+
+            @Override
+            public boolean hasBegun() {
+                return begun;
+            }
+
+            @Override
+            public void flowTo(ByteSink to) {
+                begun = true;
+                to.piece(ascii("pour")); // the end is told in a later turn, or not at all
+            }
+
+            @Override
+            public void more() {
+            }
+
+            @Override
+            public void stop() {
+            }
+        }, LONG, hears("request")));
+        String head = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\npour";
+        assertEquals(head, new String(worker.getInputStream().readNBytes(head.length()), StandardCharsets.US_ASCII));
+        worker.close();
+        assertEquals("request broken", next());
+        BlockingQueue<Boolean> sent = new LinkedBlockingQueue<>();
+        loop.execute(() -> sent.add(connection.isSent()));
+        assertTrue(sent.poll(30, TimeUnit.SECONDS));
+    }
+
     /** Its last byte was told as sent, and its attempt as one that may have run. */
     @Test
     public void aBodyWhoseLastWriteBreaksWasNotSent() throws Exception {
--- a/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
@@ -55,8 +55,12 @@
     }
 
     private void delegate(Workers workers, long timeoutNs) {
-        workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null), timeoutNs,
-                endings::add);
+        delegate(workers, timeoutNs, Long.MAX_VALUE, "1", 4);
+    }
+
+    private void delegate(Workers workers, long timeoutNs, long writtenBy, String id, int length) {
+        workers.delegate("w", new WorkerRequest(id, "use", "POST", "/use", null, new byte[length], null), timeoutNs,
+                writtenBy, endings::add);
     }
 
     private Ending ending() throws InterruptedException {
@@ -65,13 +69,19 @@
         return ending;
     }
 
-    private static void readRequest(Socket connection) throws IOException {
+    private static String readRequest(Socket connection) throws IOException {
         InputStream in = connection.getInputStream();
         StringBuilder text = new StringBuilder();
         while (text.indexOf("\r\n\r\n") < 0) {
             text.append((char) in.read());
         }
         in.readNBytes(4);
+        return text.toString();
+    }
+
+    private static void answer(Socket connection) throws IOException {
+        connection.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+                .getBytes(StandardCharsets.US_ASCII));
     }
 
     private static void sleep(long ms) {
@@ -173,6 +183,56 @@
         assertEquals("its end comes after the request", Outcome.RESET, ending().outcome());
     }
 
+    /** A repeat was judged when it was decided, and written whenever its connection was up. */
+    @Test
+    public void whatMayNoLongerBeWrittenOnceItsConnectionIsUpIsNot() throws Exception {
+        Workers workers = workers(LONG_NS);
+        loop.execute(() -> {
+            delegate(workers, LONG_NS, loop.now() + 100 * MS, "late", 4);
+            loop.execute(() -> sleep(300));
+        });
+        assertEquals(Outcome.MOOT, ending().outcome());
+        loop.execute(() -> delegate(workers, LONG_NS, Long.MAX_VALUE, "next", 4));
+        try (Socket connection = server.accept()) {
+            assertTrue("its connection serves the next", readRequest(connection).contains("next"));
+        }
+    }
+
+    /** The same on a connection that was there, and for an attempt whose own time has passed. */
+    @Test
+    public void whatMayNoLongerBeWrittenWhenItsTurnComesIsNot() throws Exception {
+        Workers workers = workers(LONG_NS);
+        loop.execute(() -> delegate(workers, LONG_NS));
+        try (Socket connection = server.accept()) {
+            readRequest(connection);
+            answer(connection);
+            assertEquals(Outcome.OK, ending().outcome());
+            for (boolean ofItsTime : new boolean[] {false, true}) {
+                loop.execute(() -> {
+                    delegate(workers, ofItsTime ? 100 * MS : LONG_NS,
+                            ofItsTime ? Long.MAX_VALUE : loop.now() + 100 * MS, "late", 4);
+                    sleep(300); // it starts once this is over
+                });
+                assertEquals(Outcome.MOOT, ending().outcome());
+            }
+            loop.execute(() -> delegate(workers, LONG_NS, Long.MAX_VALUE, "next", 4));
+            assertTrue(readRequest(connection).contains("next"));
+        }
+    }
+
+    /** A long request is written as its worker takes it, so that its last byte may come late. */
+    @Test
+    public void theRestOfWhatMayNoLongerBeWrittenIsNot() throws Exception {
+        int length = 32 * 1024 * 1024; // more than the system holds for a connection
+        Workers workers = workers(LONG_NS);
+        loop.execute(() -> delegate(workers, LONG_NS, loop.now() + 500 * MS, "late", length));
+        try (Socket connection = server.accept()) {
+            sleep(700);
+            assertTrue(connection.getInputStream().readAllBytes().length < length);
+            assertEquals(Outcome.MOOT, ending().outcome());
+        }
+    }
+
     /** Learnt as the worker's, it passed for jammed, and calls were held while it idled. */
     @Test
     public void theLoopsOwnTimeIsNotTheWorkers() throws Exception {
--- a/lab/src/main/java/trailthread/lab/peers/PlainPolicy.java
+++ b/lab/src/main/java/trailthread/lab/peers/PlainPolicy.java
@@ -136,7 +136,7 @@
         request.sentAt.add(now);
         backend.outstanding++;
         backend.sentSince++;
-        actions.send(id, 0, backend.name);
+        actions.send(id, 0, Long.MAX_VALUE, backend.name);
     }
 
     /** Where it may go: the rules on repeats, and then another worker than before where there is one. */
--- a/lab/src/main/java/trailthread/lab/world/SimNode.java
+++ b/lab/src/main/java/trailthread/lab/world/SimNode.java
@@ -286,7 +286,7 @@
     }
 
     @Override
-    public void send(long id, long timeoutNs, String backend) {
+    public void send(long id, long timeoutNs, long writtenBy, String backend) {
         asked.add(() -> {
             SimWorker worker = worker(backend);
             SimCall call = calls.get(id);
--- a/lab/src/test/java/trailthread/lab/world/WorldTest.java
+++ b/lab/src/test/java/trailthread/lab/world/WorldTest.java
@@ -119,8 +119,8 @@
         }
 
         @Override
-        public void send(long id, long timeoutNs, String backend) {
-            to.send(id, timeoutNs, backend);
+        public void send(long id, long timeoutNs, long writtenBy, String backend) {
+            to.send(id, timeoutNs, writtenBy, backend);
         }
 
         @Override
@@ -189,9 +189,9 @@
             }
 
             @Override
-            public void send(long id, long timeoutNs, String backend) {
+            public void send(long id, long timeoutNs, long writtenBy, String backend) {
                 super.timer(0, 2); // each sets the next: it is the timer that the module sets again
-                super.send(id, timeoutNs, backend);
+                super.send(id, timeoutNs, writtenBy, backend);
             }
         });
     }
@@ -200,9 +200,9 @@
     public void moreActionsThanAnyEventNeedsEndTheRun() throws Exception {
         runsWild("one event asked for more than", (actions, module) -> new Passing(actions) {
             @Override
-            public void send(long id, long timeoutNs, String backend) {
+            public void send(long id, long timeoutNs, long writtenBy, String backend) {
                 for (int i = 0; i < 200_000; i++) {
-                    super.send(id, timeoutNs, backend);
+                    super.send(id, timeoutNs, writtenBy, backend);
                 }
             }
         });
@@ -212,8 +212,8 @@
     public void aWorkerThatNobodyNamedEndsTheRun() throws Exception {
         runsWild("no list has named: w999", (actions, module) -> new Passing(actions) {
             @Override
-            public void send(long id, long timeoutNs, String backend) {
-                super.send(id, timeoutNs, "w999");
+            public void send(long id, long timeoutNs, long writtenBy, String backend) {
+                super.send(id, timeoutNs, writtenBy, "w999");
             }
         });
     }
@@ -222,8 +222,8 @@
     public void aSecondAnswerIsSeen() throws Exception {
         World.Day day = World.play(shortened("calm", 4), spoilt((actions, module) -> new Passing(actions) {
             @Override
-            public void send(long id, long timeoutNs, String backend) {
-                super.send(id, timeoutNs, backend);
+            public void send(long id, long timeoutNs, long writtenBy, String backend) {
+                super.send(id, timeoutNs, writtenBy, backend);
                 super.refuse(id, 0);
                 super.fail(id);
             }
@@ -237,7 +237,7 @@
     public void callsThatAreForgottenAreSeen() throws Exception {
         World.Day day = World.play(shortened("calm", 4), spoilt((actions, module) -> new Passing(actions) {
             @Override
-            public void send(long id, long timeoutNs, String backend) {
+            public void send(long id, long timeoutNs, long writtenBy, String backend) {
                 // nothing
             }
 
