Give unsafe work a repeat window of nothing, whatever the host's clock starts at

Cause: on reading the change once more, Request.repeatedBy gave 0 as the end of the window of unsafe work that may have run. By BalancerApi a host's clock may start anywhere; below zero, 0 lies ahead, and Balancer.permits would have let it be sent again.

Change: the end is the time of the first attempt itself, with the class's window added for keyed work only. No test of its own: other times in the module start at 0 as well, so that it does not serve at all on a clock below zero (ROADMAP).

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -1100,7 +1100,7 @@
         long repeatedBy() {
             int first = firstThatMayHaveRun();
             return first < 0 || c.rules.semantics() == Semantics.SAFE ? Long.MAX_VALUE
-                    : c.rules.semantics() == Semantics.UNSAFE ? 0 : sentAt[first] + c.rules.windowNs();
+                    : sentAt[first] + (c.rules.semantics() == Semantics.KEYED ? c.rules.windowNs() : 0);
         }
 
         /** Whether the backend drops a repeat of what may have run; any will do where none needs to. */
