Look for the client right before a call is written, and read past what it sent ahead

Probes with the loop held up (the tests) showed three ways in which it was, at any lateness: - The end lies unread behind the request (late loop, accept queue): Acceptor.take called the module, and watched the client only after that; with a connection idle at a worker, Delegation.start wrote before the socket was read again. - The list or a timer comes first in a late loop: Call.delegate knew only what had been read (finished). - Behind a further byte: HttpReply.readAhead stopped reading at the first piece, so the end was not seen until the answer. Now Delegation.send asks right before the first byte whether the call is wanted, and Call has the client's socket read for it: one place for a call that waited for the module, a connect, the next attempt or the loop. What is sent ahead is read on, one buffer of it kept; past that the rest is dropped and the connection ends with the answer.

Seen beside it: a call sent ahead in two pieces was garbled. Undertow keeps what came along with the first call as the connection's extra bytes, and readAhead put the next piece in their place, and lost their buffer. They are joined now.

Ruled out: a retry that was queued when the client left (Call.delegate: finished), a connect under way (gone cancels it). Price: one more read of a socket an attempt.

Tests: LeavingClientTest, five, each seen to fail without.

--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -35,6 +35,10 @@
     private final Runnable released;
     private final Runnable unread;
     private boolean answered;
+    /** More than is kept has come behind the call: nothing on this connection can be read after its answer. */
+    private boolean sentTooMuch;
+    /** Runs if the client goes away; null: it is not watched. */
+    private Runnable gone;
     /** The answer, if it is passed on as it comes; else null. */
     private LongAnswer longAnswer;
 
@@ -112,7 +116,7 @@
             exchange.setPersistent(false);
         }
         exchange.setStatusCode(status);
-        if (closing.getAsBoolean()) {
+        if (closing.getAsBoolean() || sentTooMuch) {
             exchange.setPersistent(false);
         }
     }
@@ -137,30 +141,36 @@
      * Undertow reads nothing while a call is at work; a client that closes would go unnoticed. What it may
      * send ahead instead is handed back for the next call.
      */
-    void watchClient(Runnable gone) {
+    void watchClient(Runnable whenGone) {
         if (answered) {
             return;
         }
+        gone = whenGone;
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
-        connection.getChannel().getSourceChannel().setReadListener(channel -> readAhead(connection, gone));
+        connection.getChannel().getSourceChannel().setReadListener(channel -> readAhead(connection));
         connection.getOriginalSourceConduit().resumeReads();
     }
 
-    private void readAhead(AbstractServerConnection connection, Runnable gone) {
-        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+    @Override
+    public void look() {
+        if (gone != null && !answered) {
+            readAhead((AbstractServerConnection) exchange.getConnection());
+        }
+    }
+
+    private void readAhead(AbstractServerConnection connection) {
         int count = -1;
-        try {
-            count = connection.getOriginalSourceConduit().read(pooled.getBuffer());
+        try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
+            ByteBuffer bytes = pooled.getBuffer();
+            int most = Loop.MOST_IN_TURN_BYTES;
+            while (most > 0 && (count = connection.getOriginalSourceConduit().read(bytes)) > 0) {
+                most -= count;
+                keepAhead(connection, bytes.flip());
+                bytes.clear();
+            }
         } catch (IOException e) {
-            // as good as closed
+            count = -1; // as good as closed
         }
-        if (count > 0) {
-            pooled.getBuffer().flip();
-            connection.setExtraBytes(pooled);
-            connection.getOriginalSourceConduit().suspendReads();
-            return;
-        }
-        pooled.close();
         if (count < 0) {
             connection.getOriginalSourceConduit().suspendReads();
             if (!answered) {
@@ -172,4 +182,28 @@
             IoUtils.safeClose(connection);
         }
     }
+
+    /**
+     * Keeps what was sent ahead, behind what came so before: Undertow has some if it came along with the call. What is
+     * more than a buffer holds is read past, and the connection ends with the answer: left unread, it would hide that
+     * its client has left.
+     */
+    private void keepAhead(AbstractServerConnection connection, ByteBuffer bytes) {
+        if (sentTooMuch) {
+            return;
+        }
+        PooledByteBuffer kept = connection.getExtraBytes();
+        if (kept == null) {
+            kept = connection.getByteBufferPool().allocate();
+            kept.getBuffer().limit(0);
+            connection.setExtraBytes(kept);
+        }
+        ByteBuffer ahead = kept.getBuffer().compact();
+        if (bytes.remaining() > ahead.remaining()) {
+            sentTooMuch = true;
+        } else {
+            ahead.put(bytes);
+        }
+        ahead.flip();
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
@@ -0,0 +1,201 @@
+package trailthread.daemon.acceptor;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import trailthread.BalancerApi.Entry;
+import trailthread.BalancerApi.Group;
+import trailthread.BalancerApi.ListKind;
+import trailthread.BalancerApi.RequestClass;
+import trailthread.BalancerApi.Semantics;
+import trailthread.BalancerApi.Settings;
+import trailthread.BalancerApi.State;
+import trailthread.engine.call.Calls;
+import trailthread.engine.loop.Account;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.engine.roster.RosterEntry;
+import trailthread.engine.roster.RosterUpdate;
+import trailthread.engine.worker.ConnectionRoom;
+import trailthread.engine.worker.Workers;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+import trailthread.testkit.Stage;
+
+/** Clients that leave at each moment at which their call waits: it reaches no worker any more. */
+public class LeavingClientTest {
+    private static final long LONG_NS = 20_000_000_000L;
+    private final Loop loop;
+    private final Peer worker;
+    private Calls calls;
+    private Workers workers;
+    private InetSocketAddress address;
+
+    public LeavingClientTest() throws IOException {
+        loop = new Loop("leaving");
+        worker = Peer.serving("made");
+    }
+
+    @Before
+    public void listen() throws Exception {
+        Settings settings = new Settings();
+        settings.classes.add(new RequestClass("use", LONG_NS, 0, LONG_NS, Semantics.UNSAFE, Group.ALL, 0, 1, 0));
+        workers = new Workers(loop, LONG_NS, LONG_NS, 0, ConnectionRoom.of(8), 0, Account.NONE);
+        calls = new Calls(loop, workers, settings, 1, Meter.OFF);
+        Acceptor acceptor = new Acceptor(loop, 28, 28, new PlatformFront(settings.classes, calls), Meter.OFF);
+        address = acceptor.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        loop.execute(() -> workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w", worker.hostPort(),
+                "a", 0, State.READY, 1, 0))), loop.now()));
+        loop.execute(this::list);
+        onlyOneWhoStaysIsServed(); // a connection to the worker is open from now on: the next call is written at once
+        loop.execute(this::listNone);
+    }
+
+    @After
+    public void end() throws IOException {
+        worker.close();
+        loop.worker().shutdownNow();
+    }
+
+    private Socket connect() throws IOException {
+        Socket client = new Socket(address.getAddress(), address.getPort());
+        client.setSoTimeout(1000 * Peer.LONGEST_WAIT_S);
+        return client;
+    }
+
+    /** The module knows the worker, which what is held waits for. To be called on the loop. */
+    private void list() {
+        calls.list(ListKind.FULL, List.of(new Entry("w", 1, State.READY, "a", 0, 0)));
+    }
+
+    /** The module knows no worker: what comes is held. To be called on the loop. */
+    private void listNone() {
+        calls.list(ListKind.FULL, List.of());
+    }
+
+    /** Waits until so many calls are taken. */
+    private void awaitTaken(String... ids) throws Exception {
+        for (String id : ids) {
+            for (boolean taken = false; !taken;) {
+                CountDownLatch looked = new CountDownLatch(1);
+                boolean[] open = new boolean[1];
+                loop.execute(() -> {
+                    open[0] = calls.isOpen(id);
+                    looked.countDown();
+                });
+                Peer.await(looked);
+                taken = open[0];
+            }
+        }
+    }
+
+    private static String id(String request) {
+        return request.split("X-Correlation-Id: ")[1].split("\r\n")[0];
+    }
+
+    /** Another client's call is served, and was the first that the worker saw. */
+    private void onlyOneWhoStaysIsServed() throws Exception {
+        try (Socket stays = connect()) {
+            String request = Stage.request("use", "?stays", "");
+            Message.send(stays, request);
+            assertEquals("made", Message.read(stays).body());
+            assertEquals(id(request), worker.asked().header("X-Correlation-Id"));
+            worker.wasNotAsked();
+        }
+    }
+
+    /** It was found with the call, and the call was sent on all the same. */
+    @Test
+    public void whoLeavesUnreadIsNotServed() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        loop.execute(this::list);
+        loop.execute(() -> Peer.await(goOn));
+        Socket client = connect();
+        Message.send(client, Stage.request("use", "", ""));
+        client.close();
+        goOn.countDown();
+        onlyOneWhoStaysIsServed();
+    }
+
+    /** What a timer or the list brings comes before the sockets are looked at. */
+    @Test
+    public void whoLeavesBeforeALateLoopLooksIsNotServed() throws Exception {
+        for (boolean resets : new boolean[] {false, true}) {
+            Socket client = connect();
+            String request = Stage.request("use", "", "");
+            Message.send(client, request);
+            awaitTaken(id(request));
+            CountDownLatch goOn = new CountDownLatch(1);
+            loop.execute(() -> Peer.await(goOn));
+            loop.execute(this::list); // next, whatever has come
+            client.setSoLinger(resets, 0);
+            client.close();
+            goOn.countDown();
+            onlyOneWhoStaysIsServed();
+            loop.execute(this::listNone);
+        }
+    }
+
+    /** Past the first byte sent ahead nothing was read, and the end not seen. */
+    @Test
+    public void whoLeavesBehindFurtherBytesIsNotServed() throws Exception {
+        for (String bytes : new String[] {"x", Stage.request("use", "?next", ""), "x".repeat(100_000)}) {
+            Socket client = connect();
+            String request = Stage.request("use", "", "");
+            Message.send(client, request);
+            awaitTaken(id(request));
+            Message.send(client, bytes);
+            loop.execute(() -> loop.afterSockets(() -> { })); // the bytes are read apart from the end
+            awaitTaken(id(request));
+            client.close();
+            loop.execute(() -> loop.afterSockets(this::list));
+            onlyOneWhoStaysIsServed();
+            loop.execute(this::listNone);
+        }
+    }
+
+    /** What came behind a call took the place of what had come along with it. */
+    @Test
+    public void aCallSentAheadInPiecesIsWhole() throws Exception {
+        try (Socket client = connect()) {
+            String first = Stage.request("use", "?1", "");
+            String ahead = Stage.request("use", "?2", "");
+            Message.send(client, first + ahead.substring(0, 40));
+            awaitTaken(id(first));
+            for (int at = 40; at < ahead.length(); at += 40) {
+                Message.send(client, ahead.substring(at, Math.min(ahead.length(), at + 40)));
+                awaitTaken(id(first));
+            }
+            loop.execute(this::list);
+            assertEquals("made", Message.read(client).body());
+            assertEquals("made", Message.read(client).body());
+            assertEquals(id(first), worker.asked().header("X-Correlation-Id"));
+            assertEquals(id(ahead), worker.asked().header("X-Correlation-Id"));
+        }
+    }
+
+    /** More than is kept: the call has its answer, and the connection ends with it. */
+    @Test
+    public void whoSendsTooMuchAheadHasItsAnswerAndNoOther() throws Exception {
+        try (Socket client = connect()) {
+            String first = Stage.request("use", "?1", "");
+            Message.send(client, first);
+            awaitTaken(id(first));
+            Message.send(client, "x".repeat(100_000));
+            loop.execute(() -> loop.afterSockets(this::list));
+            Message answer = Message.read(client);
+            assertEquals("made", answer.body());
+            assertEquals("close", answer.header("Connection"));
+            assertNull(Message.read(client));
+        }
+    }
+}
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -70,6 +70,14 @@
         }
         long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
         delegation = calls.workers().delegate(worker, request, wait, writtenBy, new DelegationListener() {
+            @Override
+            public boolean isWanted() {
+                // Guards against a loop that runs late: that the client has left lies unread in its socket, or came
+                // along with the request.
+                reply.look();
+                return !finished;
+            }
+
             @Override
             public void sent() {
                 calls.meter().attemptSent();
--- a/engine/src/main/java/trailthread/engine/call/Reply.java
+++ b/engine/src/main/java/trailthread/engine/call/Reply.java
@@ -18,6 +18,10 @@
      */
     ByteSink begin(Made head, long length, Runnable more, Runnable gone);
 
+    /** Looks whether the client is still there; what was to run if it goes away has run when this returns. */
+    default void look() {
+    }
+
     /**
      * Nothing of the call is kept any more, its body neither: it has its answer or its client has gone, and no attempt
      * is out. Told once, after all else.
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Delegation.java
@@ -108,7 +108,8 @@
 
     private void send(HttpConnection to) {
         long now = loop.now();
-        if (!worker.takesNew(now, connections.drainGraceNs) || now >= endsAt || !mayBeWritten()) {
+        if (!worker.takesNew(now, connections.drainGraceNs) || now >= endsAt || !mayBeWritten()
+                || !listener.isWanted()) {
             // What was right when it was decided may not be so any more: a drain has become known, a worker no longer
             // drops this as a repeat, or nobody waits for it. The rules count from when it is written.
             connections.keep(worker, to);
--- a/engine/src/main/java/trailthread/engine/worker/DelegationListener.java
+++ b/engine/src/main/java/trailthread/engine/worker/DelegationListener.java
@@ -5,6 +5,11 @@
 
 /** Hears what becomes of one delegation. */
 public interface DelegationListener {
+    /** Whether anybody still waits for it: asked right before its first byte is written. */
+    default boolean isWanted() {
+        return true;
+    }
+
     /** The request's last byte has been written. */
     default void sent() {
     }
