Use no connection to a worker past its time, by the idle time in force

Read, and shown by the test: takeIdle looked at the socket alone, and what drops a connection in time is a timer that runs late with the loop. Now it is dropped before. It also kept the time until which it was good, so that a shorter idle time at SIGHUP did not hold for it; it keeps since when it idles. Ruled out: a connection that the worker closes early, whose end has come: isUsable reads it. One whose end has not come yet ends as a reset by the protocol. Test: LateLoopTest (workers) aConnectionThatHasIdledPastItsTimeIsNotUsed, seen to fail without.

--- a/engine/src/main/java/trailthread/engine/worker/Connections.java
+++ b/engine/src/main/java/trailthread/engine/worker/Connections.java
@@ -16,16 +16,16 @@
     private static final int SWEEPS = 20;
     private static final long LEAST_BETWEEN_NS = 10_000_000L;
 
-    /** A connection with no request on it, and until when it is kept. */
+    /** A connection with no request on it, and since when. */
     static final class Idle {
         private final Worker worker;
         private final HttpConnection connection;
-        private final long until;
+        private final long since;
 
-        Idle(Worker worker, HttpConnection connection, long until) {
+        Idle(Worker worker, HttpConnection connection, long since) {
             this.worker = worker;
             this.connection = connection;
-            this.until = until;
+            this.since = since;
         }
     }
 
@@ -58,6 +58,7 @@
 
     /** An idle connection to the worker, the last one used, or null. */
     HttpConnection takeIdle(Worker worker) {
+        dropOld(); // the worker may have closed what a late sweep has left, and its word be on the way
         while (!worker.idle.isEmpty()) {
             Idle last = worker.idle.peekLast();
             forget(last);
@@ -109,7 +110,7 @@
         if (!connection.isFree()) {
             return; // before it is used again, it is looked at
         }
-        Idle kept = new Idle(worker, connection, loop.now() + idleNs);
+        Idle kept = new Idle(worker, connection, loop.now());
         worker.idle.addLast(kept);
         idle.add(kept);
         if (!sweeps) {
@@ -120,15 +121,20 @@
 
     /** Drops what has idled for long enough. One timer for all: most are used again long before. */
     private void sweep() {
-        while (!idle.isEmpty() && idle.iterator().next().until <= loop.now()) {
-            drop(idle.iterator().next());
-        }
+        dropOld();
         sweeps = !idle.isEmpty();
         if (sweeps) {
             loop.after(Math.max(idleNs / SWEEPS, LEAST_BETWEEN_NS), this::sweep);
         }
     }
 
+    private void dropOld() {
+        long now = loop.now();
+        while (!idle.isEmpty() && now - idle.iterator().next().since >= idleNs) {
+            drop(idle.iterator().next());
+        }
+    }
+
     /** Closes as many that idle at any worker, the longest idle first. */
     void closeIdle(int count) {
         for (int i = 0; i < count && !idle.isEmpty(); i++) {
--- a/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
@@ -112,6 +112,28 @@
         }
     }
 
+    /** It was used on, as the sweep that drops it is a timer, and its worker may just have closed it. */
+    @Test
+    public void aConnectionThatHasIdledPastItsTimeIsNotUsed() throws Exception {
+        Workers workers = new Workers(loop, LONG_NS, 1_000 * MS, 0, ConnectionRoom.of(16), 500 * MS, Account.NONE);
+        loop.execute(() -> workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
+                "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now()));
+        loop.execute(() -> delegate(workers, LONG_NS));
+        server.setSoTimeout(10_000);
+        try (Socket first = server.accept()) {
+            readRequest(first);
+            answer(first);
+            assertEquals(Outcome.OK, ending().outcome());
+            loop.execute(() -> {
+                sleep(1_000);
+                delegate(workers, LONG_NS, Long.MAX_VALUE, "2", 4);
+            });
+            try (Socket second = server.accept()) {
+                assertTrue(readRequest(second).contains("X-Correlation-Id: 2\r\n"));
+            }
+        }
+    }
+
     /** The look before a time-out found the beginning of a long answer, and the time-out then ended it. */
     @Test
     public void aLongAnswerThatHasBegunIsNoTimeOut() throws Exception {
