Read lists from discovery that are indented, and take only whole objects as signs of life

RosterObjects splits by brackets instead. A byte of an object that never ends passed for a sign of life, and would have kept a watch open for good: now it takes an empty line or a whole object. Tests: RosterSideTest.anIndentedListIsRead (seen to fail without), RosterParserTest.

--- a/daemon/src/test/java/trailthread/daemon/RosterSideTest.java
+++ b/daemon/src/test/java/trailthread/daemon/RosterSideTest.java
@@ -65,6 +65,18 @@
         }
     }
 
+    /** Its first line alone was no list, and the watch was broken off again and again. */
+    @Test
+    public void anIndentedListIsRead() throws Exception {
+        stage.start(Stage.SETTINGS, first);
+        String list = as("w1", Stage.list(2, true, "active", second));
+        Stage.line(stage.roster.asked(), list.replace("{", "{\n  ").replace(",", ",\n  ").replace("}", "\n}"));
+        while (!stage.call("use").body().equals("second")) {
+            assertTrue(first.requests.size() < 100);
+        }
+        stage.roster.wasNotAsked();
+    }
+
     @Test
     public void whatIsMalformedEndsTheWatchAndTheListStands() throws Exception {
         stage.start(Stage.SETTINGS, first);
--- a/engine/src/main/java/trailthread/engine/roster/Roster.java
+++ b/engine/src/main/java/trailthread/engine/roster/Roster.java
@@ -125,7 +125,7 @@
     private final class Exchange implements AnswerListener {
         private final boolean watches;
         private final String target;
-        private final RosterLines lines = new RosterLines();
+        private final RosterObjects objects = new RosterObjects();
         /** Takes back a connect that has not come up, or null. */
         private Runnable connecting;
         private HttpConnection connection;
@@ -165,10 +165,12 @@
             if (over) {
                 return;
             }
-            expectWithin(LINE_WITHIN_NS);
             try {
-                for (String line : lines.add(piece)) {
-                    take(line);
+                for (String object : objects.add(piece)) {
+                    take(object);
+                }
+                if (!over && objects.lives()) {
+                    expectWithin(LINE_WITHIN_NS);
                 }
             } catch (IOException e) {
                 fail(e.getMessage());
@@ -177,15 +179,7 @@
 
         @Override
         public void whole() {
-            if (over) {
-                return;
-            }
-            try {
-                take(lines.rest());
-                fail("ends the watch");
-            } catch (IOException e) {
-                fail(e.getMessage());
-            }
+            fail(objects.isWithin() ? "ends within an object" : "ends the watch");
         }
 
         @Override
@@ -193,11 +187,11 @@
             fail(how);
         }
 
-        private void take(String line) throws IOException {
-            if (over || line.isBlank()) {
+        private void take(String object) throws IOException {
+            if (over) {
                 return;
             }
-            RosterUpdate update = RosterParser.parse(line);
+            RosterUpdate update = RosterParser.parse(object);
             generation = update.generation();
             if (failing) {
                 LOG.info("roster is back, at generation {}", generation);
--- a/engine/src/test/java/trailthread/engine/roster/RosterParserTest.java
+++ b/engine/src/test/java/trailthread/engine/roster/RosterParserTest.java
@@ -1,7 +1,9 @@
 package trailthread.engine.roster;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -57,16 +59,44 @@
     }
 
     @Test
-    public void aWatchIsSplitIntoLinesHoweverItComes() throws IOException {
-        byte[] text = "{\"a\":\"\u00e9\"}\n\n{}\n{".getBytes(StandardCharsets.UTF_8);
+    public void aWatchIsSplitIntoObjectsHoweverItComes() throws IOException {
+        List<String> three = List.of("{\"a\":\"\u00e9}\\\"{\"}", "{\n  \"b\": [\n    {}\n  ]\n}", "{}");
+        byte[] text = (three.get(0) + "\n\n" + three.get(1) + "\r\n \n" + three.get(2) + "\n{\"c")
+                .getBytes(StandardCharsets.UTF_8);
         for (int piece = 1; piece <= text.length; piece++) {
-            RosterLines lines = new RosterLines();
+            RosterObjects objects = new RosterObjects();
             List<String> all = new ArrayList<>();
             for (int at = 0; at < text.length; at += piece) {
-                all.addAll(lines.add(ByteBuffer.wrap(text, at, Math.min(piece, text.length - at))));
+                all.addAll(objects.add(ByteBuffer.wrap(text, at, Math.min(piece, text.length - at))));
             }
-            assertEquals(List.of("{\"a\":\"\u00e9\"}", "", "{}"), all);
-            assertEquals("{", lines.rest());
+            assertEquals(three, all);
+            assertTrue(objects.isWithin());
+        }
+    }
+
+    /** Else a watch that trickles would never pass for broken. */
+    @Test
+    public void onlyEmptyLinesAndWholeObjectsAreSignsOfLife() throws IOException {
+        String[] lives = {"\n", " \r\n", "{}", "{}\n{"};
+        String[] lifeless = {"", " ", "{", "{\n\n\"a\":\n"};
+        for (String bytes : lives) {
+            assertTrue(bytes, lives(bytes));
+        }
+        for (String bytes : lifeless) {
+            assertFalse(bytes, lives(bytes));
+        }
+    }
+
+    private static boolean lives(String bytes) throws IOException {
+        RosterObjects objects = new RosterObjects();
+        objects.add(ByteBuffer.wrap(bytes.getBytes(StandardCharsets.UTF_8)));
+        return objects.lives();
+    }
+
+    @Test
+    public void whatIsNoObjectIsTold() {
+        for (String bytes : new String[] {"x", "[{}]", "{}]", "\"a\"", "\ufeff{}"}) {
+            assertThrows(bytes, IOException.class, () -> lives(bytes));
         }
     }
 }
