Use no connection to a worker while a second answer to the call before may come on it

But Connections.takeIdle gave the last used connection at once, and where calls are held the module places the next call at the same worker in the turn of the answer: the copy would then pass for its answer. Ruled out that anything else tells them apart: an answer carries no id. Change: a connection is used again 10 ms after an answer at the earliest (HttpConnection.isSettled); meanwhile another one is taken or opened. Its idle time counts from its last answer: before, one that was taken for an attempt that came too late for it began anew, and was kept past the worker's own time.

In the same landing, the ends: SIGHUP before its handler stood ended the process, as the handler came after the configuration was read and the parts were made; it is handled first now, and remembered (StartAndStopTest aSighupDuringTheStartIsRemembered). SIGTERM has its hook before the first call can be taken. The end waited for the deadlines in force alone: calls taken before a reload that shortened them were cut off at 1.7 s and the new deadline (callsTakenUnderLongerDeadlinesAreWaitedFor). PlannedEnd is an object now that keeps the longest of all.

--- a/command/src/main/java/trailthread/command/Serve.java
+++ b/command/src/main/java/trailthread/command/Serve.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
@@ -32,15 +33,15 @@
             return Trailthread.BAD;
         }
         Lifecycle.startLean();
+        CompletableFuture<Runnable> reload = Lifecycle.onHangup();
         ServiceNode node = new ServiceNode(file, read);
-        Lifecycle.onHangup(node::reload);
         try {
-            node.start();
+            Lifecycle.start(node::start, node::stop);
         } catch (IOException e) {
             System.err.println("trailthread: listen on " + read.listen() + ": " + e.getMessage());
             return Trailthread.BAD;
         }
-        Lifecycle.onTerminate(node::stop);
+        reload.complete(node::reload);
         return GOES_ON;
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/Lifecycle.java
+++ b/daemon/src/main/java/trailthread/daemon/Lifecycle.java
@@ -1,10 +1,18 @@
 package trailthread.daemon;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.LoggerFactory;
 
 /** The process: how it starts, what signals do, how it ends. */
 public final class Lifecycle {
+    /** What begins to take calls. */
+    public interface Starting {
+        /** Returns when it is under way. */
+        void run() throws IOException;
+    }
+
     /** What ends a process in order. */
     public interface Ending {
         /** Returns when all is done. */
@@ -30,17 +38,19 @@
     }
 
     /**
-     * Runs this on each SIGHUP, which would end the virtual machine. By reflection, as the compiler warns of
-     * the only class that handles signals, and a warning is an error here.
+     * Handles SIGHUP, which would end the virtual machine, from now on: each runs what this is completed with, and one
+     * that comes before waits for it. By reflection, as the compiler warns of the only class that handles signals, and
+     * a warning is an error here.
      */
-    public static void onHangup(Runnable task) {
+    public static CompletableFuture<Runnable> onHangup() {
+        CompletableFuture<Runnable> reload = new CompletableFuture<>();
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object handles = Proxy.newProxyInstance(Lifecycle.class.getClassLoader(), new Class<?>[] {handler},
                     (proxy, method, args) -> {
                         if (method.getName().equals("handle")) {
-                            task.run();
+                            reload.thenAccept(Runnable::run);
                         }
                         return null;
                     });
@@ -49,17 +59,28 @@
         } catch (ReflectiveOperationException e) {
             LoggerFactory.getLogger(Lifecycle.class).warn("SIGHUP is not handled: {}", e.toString());
         }
+        return reload;
     }
 
-    /** Runs this on SIGTERM. Ends in 0 what would end in the signal's number: a planned end is no failure. */
-    public static void onTerminate(Ending ending) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+    /**
+     * Starts what SIGTERM ends in order, from before its first call. Ends in 0 what would end in the signal's number: a
+     * planned end is no failure; what can't start ends as it would.
+     */
+    public static void start(Starting starting, Ending ending) throws IOException {
+        Thread stop = new Thread(() -> {
             try {
                 ending.run();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
             Runtime.getRuntime().halt(0);
-        }, "stop"));
+        }, "stop");
+        Runtime.getRuntime().addShutdownHook(stop);
+        try {
+            starting.run();
+        } catch (IOException e) {
+            Runtime.getRuntime().removeShutdownHook(stop);
+            throw e;
+        }
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/Main.java
+++ b/daemon/src/main/java/trailthread/daemon/Main.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CompletableFuture;
 import trailthread.adapter.Adapter;
 
 /** Starts the program: {@code serve}, a real node; {@code adapter}, the module on the simulator's wire. */
@@ -34,11 +35,11 @@
     private static void serve() throws IOException {
         Lifecycle.startLean();
         try {
+            CompletableFuture<Runnable> reload = Lifecycle.onHangup();
             Node node = new Node(NodeConfig.load(System.getenv()));
             ServerSocketChannel given = GivenSocket.of(System.getenv());
-            Lifecycle.onHangup(() -> node.reload(System.getenv()));
-            node.start(given);
-            Lifecycle.onTerminate(node::stop);
+            Lifecycle.start(() -> node.start(given), node::stop);
+            reload.complete(() -> node.reload(System.getenv()));
         } catch (ConfigException e) {
             System.err.println("trailthread: " + e.getMessage());
             System.exit(BAD_USE);
--- a/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
+++ b/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
@@ -22,16 +22,26 @@
     /** A client that reads its last answer slowly is waited for so long. */
     private static final long LAST_ANSWER_NS = 1_000_000_000L;
 
-    private PlannedEnd() {
+    private final Loop loop;
+    private final Acceptor acceptor;
+    private final Drain drain;
+    /** Of all deadlines since the start: calls keep theirs when other settings hold. */
+    private volatile long longestNs;
+
+    /** Makes the end of a node that serves with the acceptor. */
+    public PlannedEnd(Loop loop, Acceptor acceptor, Drain drain) {
+        this.loop = loop;
+        this.acceptor = acceptor;
+        this.drain = drain;
     }
 
-    /**
-     * Ends it; returns when all calls have had their time.
-     *
-     * @param longestNs of all deadlines
-     */
-    public static void await(Loop loop, Acceptor acceptor, Drain drain, String name, long longestNs)
-            throws InterruptedException {
+    /** Calls may have this deadline, in nanoseconds, from now on. To be called by one thread at a time. */
+    public void waitsFor(long deadlineNs) {
+        longestNs = Math.max(longestNs, deadlineNs);
+    }
+
+    /** Ends the node; returns when all calls have had their time. */
+    public void await(String name) throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             LOG.info("{} stops", name);
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -51,6 +51,7 @@
     private final SplittableRandom random;
     private final Acceptor acceptor;
     private final Drain drain;
+    private final PlannedEnd end;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final String idPrefix;
     private long lastId;
@@ -72,6 +73,7 @@
         acceptor = new Acceptor(loop, forClients, (int) (forClients / FULL_SHARE),
                 new ServiceFront(new RouteTable(List.of()), Map.of(), this::newId), meter);
         drain = new Drain(loop, acceptor);
+        end = new PlannedEnd(loop, acceptor, drain);
     }
 
     private static List<RequestClass> classes(ServicesConfig services) {
@@ -144,6 +146,7 @@
         List<Pool> begun = new ArrayList<>();
         int kept = 0;
         for (PoolConfig config : next.services().pools()) {
+            config.classes().forEach(c -> end.waitsFor(c.rules().deadlineNs()));
             Pool before = old.get(config.name());
             if (before != null && before.config().equals(config)) {
                 pools.put(config.name(), before);
@@ -178,9 +181,7 @@
 
     /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     public void stop() throws InterruptedException {
-        long longestNs = file.services().pools().stream().flatMap(pool -> pool.classes().stream())
-                .mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
-        PlannedEnd.await(loop, acceptor, drain, file.name(), longestNs);
+        end.await(file.name());
     }
 
     // ---- what it says of itself --------------------------------------------------------------------
--- a/daemon/src/test/java/trailthread/daemon/ClientSideTest.java
+++ b/daemon/src/test/java/trailthread/daemon/ClientSideTest.java
@@ -38,6 +38,7 @@
             Message answer = Message.read(client);
             assertEquals(200, answer.status());
             assertEquals(body, answer.body());
+            Thread.sleep(20); // right after an answer its connection is not used, as a second one may come
         }
 
         Message asked = worker.asked();
--- a/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
@@ -4,7 +4,9 @@
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
+import java.io.OutputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import org.junit.After;
 import org.junit.Test;
@@ -66,6 +68,40 @@
         }
     }
 
+    /** SIGHUP ended a process that had not come to its handler; what it asks for is done once the node is there. */
+    @Test
+    public void aSighupDuringTheStartIsRemembered() throws Exception {
+        try (OutputStream told = stage.startAtPipe()) {
+            stage.signal("HUP");
+            told.write(stage.config(Stage.SETTINGS).getBytes(StandardCharsets.UTF_8));
+        }
+        stage.logged("serves on");
+        try (OutputStream told = stage.pipe()) { // read once more
+            told.write(stage.config(Stage.SETTINGS).getBytes(StandardCharsets.UTF_8));
+        }
+        stage.logged("configuration taken over");
+    }
+
+    /** The end waited for the deadlines in force alone, and cut off calls that had been taken under longer ones. */
+    @Test
+    public void callsTakenUnderLongerDeadlinesAreWaitedFor() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        Peer worker = stage.add(Peer.servingAfter(answer, "made"));
+        stage.start(Stage.SETTINGS, worker);
+        Socket client = stage.connect();
+        Message.send(client, Stage.request("use", "", ""));
+        worker.asked();
+        stage.reload(stage.config(Stage.SETTINGS.replace("\"deadline_ns\":20000000000", "\"deadline_ns\":100000000"),
+                worker));
+        stage.logged("configuration taken over");
+        stage.terminate();
+        stage.logged("stops");
+        Thread.sleep(3_000); // past 1.7 s and the new deadlines
+        answer.countDown();
+        assertEquals("made", Message.read(client).body());
+        assertEquals(0, stage.exitStatus());
+    }
+
     @Test
     public void onSigtermItServesOnThenFinishesWhatItHasTakenAndEndsWell() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
--- a/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
@@ -111,6 +111,7 @@
             assertEquals(id(request), worker.asked().header("X-Correlation-Id"));
             worker.wasNotAsked();
         }
+        Thread.sleep(20); // the connection to the worker is not used before it has settled
     }
 
     /** It was found with the call, and the call was sent on all the same. */
--- a/engine/src/main/java/trailthread/engine/worker/Connections.java
+++ b/engine/src/main/java/trailthread/engine/worker/Connections.java
@@ -1,5 +1,6 @@
 package trailthread.engine.worker;
 
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -16,16 +17,14 @@
     private static final int SWEEPS = 20;
     private static final long LEAST_BETWEEN_NS = 10_000_000L;
 
-    /** A connection with no request on it, and since when. */
+    /** A connection with no request on it. */
     static final class Idle {
         private final Worker worker;
         private final HttpConnection connection;
-        private final long since;
 
-        Idle(Worker worker, HttpConnection connection, long since) {
+        Idle(Worker worker, HttpConnection connection) {
             this.worker = worker;
             this.connection = connection;
-            this.since = since;
         }
     }
 
@@ -56,14 +55,18 @@
         drainGraceNs = graceNs;
     }
 
-    /** An idle connection to the worker, the last one used, or null. */
+    /** An idle connection to the worker, the last one used that has settled, or null. */
     HttpConnection takeIdle(Worker worker) {
-        dropOld(); // the worker may have closed what a late sweep has left, and its word be on the way
-        while (!worker.idle.isEmpty()) {
-            Idle last = worker.idle.peekLast();
-            forget(last);
-            if (last.connection.isUsable()) {
-                return last.connection;
+        for (Iterator<Idle> lastFirst = worker.idle.descendingIterator(); lastFirst.hasNext();) {
+            Idle last = lastFirst.next();
+            if (last.connection.isSettled()) {
+                lastFirst.remove();
+                idle.remove(last);
+                if (isOld(last)) { // left by a late sweep: its worker may have closed it, and its word be on the way
+                    last.connection.close();
+                } else if (last.connection.isUsable()) {
+                    return last.connection;
+                }
             }
         }
         return null;
@@ -110,7 +113,7 @@
         if (!connection.isFree()) {
             return; // before it is used again, it is looked at
         }
-        Idle kept = new Idle(worker, connection, loop.now());
+        Idle kept = new Idle(worker, connection);
         worker.idle.addLast(kept);
         idle.add(kept);
         if (!sweeps) {
@@ -121,18 +124,17 @@
 
     /** Drops what has idled for long enough. One timer for all: most are used again long before. */
     private void sweep() {
-        dropOld();
+        while (!idle.isEmpty() && isOld(idle.iterator().next())) {
+            drop(idle.iterator().next());
+        }
         sweeps = !idle.isEmpty();
         if (sweeps) {
             loop.after(Math.max(idleNs / SWEEPS, LEAST_BETWEEN_NS), this::sweep);
         }
     }
 
-    private void dropOld() {
-        long now = loop.now();
-        while (!idle.isEmpty() && now - idle.iterator().next().since >= idleNs) {
-            drop(idle.iterator().next());
-        }
+    private boolean isOld(Idle kept) {
+        return loop.now() - kept.connection.idleSince() >= idleNs;
     }
 
     /** Closes as many that idle at any worker, the longest idle first. */
--- a/testkit/src/main/java/trailthread/testkit/Stage.java
+++ b/testkit/src/main/java/trailthread/testkit/Stage.java
@@ -6,12 +6,14 @@
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -94,8 +96,25 @@
         return runClass(json, words);
     }
 
+    /** Starts the program with a pipe in place of its file; returns its end once the program reads there. */
+    public OutputStream startAtPipe() throws IOException, InterruptedException {
+        Files.delete(config);
+        assertEquals(0, new ProcessBuilder("mkfifo", config.toString()).start().waitFor());
+        launch(List.of("trailthread.daemon.Main", "serve"));
+        return pipe();
+    }
+
+    /** The pipe's end, once the program reads from it. */
+    public OutputStream pipe() throws IOException {
+        return Files.newOutputStream(config, StandardOpenOption.WRITE);
+    }
+
     private Process runClass(String text, List<String> words) throws IOException {
         Files.writeString(config, text);
+        return launch(words);
+    }
+
+    private Process launch(List<String> words) throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "-Xmx64m"));
