--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -24,8 +24,8 @@
  */
 public final class HttpConnection {
     /**
-     * So long after an answer, a connection may bring a second one: "some milliseconds later", seen up to 3.6 ms. It would
-     * pass for that of the next request.
+     * So long after an answer, a connection may bring a second one: "some milliseconds later", seen up to 3.6 ms. It
+     * would pass for that of the next request.
      */
     public static final long SETTLES_NS = 10_000_000L;
 
