Let connections settle in two tests of services that ask for the same one again

ServicesTest.answersWithoutBodies failed in the run of the modules after the daemon: its second call came within 10 ms of an answer, and was given another connection, as it is since connections settle. It waits 20 ms between calls now, and so does aReloadLeavesAloneWhatDidNotChange, which asks the same after a reload; what they ask is unchanged.

--- a/command/src/test/java/trailthread/command/ServicesTest.java
+++ b/command/src/test/java/trailthread/command/ServicesTest.java
@@ -125,7 +125,9 @@
             Message head = ask("HEAD", "/x", "sim.example.org", "");
             assertEquals(200, head.status());
             assertEquals("7", head.header("Content-Length"));
+            Thread.sleep(20); // right after an answer its connection is not used, as a second one may come
             assertEquals(204, ask("DELETE", "/x", "sim.example.org", "").status());
+            Thread.sleep(20);
         }
         Socket first = sim.asked().connection();
         for (int i = 0; i < 5; i++) {
@@ -177,6 +179,7 @@
         Socket toMarks = marks.asked().connection();
         stage.reload(file(workers(sim), "attempts = 2\n" + workers(marks)));
         stage.logged("1 pools kept, 1 begun, 1 ending");
+        Thread.sleep(20); // as above
         ask("GET", "/2", "sim.example.org", "");
         ask("GET", "/2", "marks.example.org", "");
         assertSame("the same connection", toSim, sim.asked().connection());
