--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -23,12 +23,6 @@
  * neither take back a connect nor end a connection before its request has drained.
  */
 public final class HttpConnection {
-    /**
-     * So long after an answer, a connection may bring a second one: "some milliseconds later", seen up to 3.6 ms. It
-     * would pass for that of the next request.
-     */
-    public static final long SETTLES_NS = 10_000_000L;
-
     private static final OptionMap TCP = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final Loop loop;
@@ -51,7 +45,6 @@
     private boolean open = true;
     /** When it came up, or its last answer was whole. */
     private long idleSince;
-    private boolean hasAnswered;
     /** Nothing is read: whoever hears the answer has no room for more. */
     private boolean paused;
 
@@ -178,11 +171,6 @@
         return idleSince;
     }
 
-    /** Whether no second answer to the request before is to be expected any more. */
-    public boolean isSettled() {
-        return !hasAnswered || loop.now() - idleSince >= SETTLES_NS;
-    }
-
     /** Looks once more at what has come; whether another request may be sent. */
     public boolean isUsable() {
         if (answer == null) {
@@ -382,7 +370,6 @@
                 answer = null;
                 outgoing = null;
                 idleSince = loop.now();
-                hasAnswered = true;
                 resume(); // for the next one
                 hears.whole();
             }
--- a/engine/src/main/java/trailthread/engine/worker/Connections.java
+++ b/engine/src/main/java/trailthread/engine/worker/Connections.java
@@ -55,18 +55,16 @@
         drainGraceNs = graceNs;
     }
 
-    /** An idle connection to the worker, the last one used that has settled, or null. */
+    /** An idle connection to the worker, the last one used, or null. */
     HttpConnection takeIdle(Worker worker) {
         for (Iterator<Idle> lastFirst = worker.idle.descendingIterator(); lastFirst.hasNext();) {
             Idle last = lastFirst.next();
-            if (last.connection.isSettled()) {
-                lastFirst.remove();
-                idle.remove(last);
-                if (isOld(last)) { // left by a late sweep: its worker may have closed it, and its word be on the way
-                    last.connection.close();
-                } else if (last.connection.isUsable()) {
-                    return last.connection;
-                }
+            lastFirst.remove();
+            idle.remove(last);
+            if (isOld(last)) { // left by a late sweep: its worker may have closed it, and its word be on the way
+                last.connection.close();
+            } else if (last.connection.isUsable()) {
+                return last.connection;
             }
         }
         return null;
