--- a/daemon/src/main/java/trailthread/daemon/PlannedEnd.java
+++ b/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
@@ -8,8 +8,8 @@
 import trailthread.engine.loop.Loop;
 
 /** How a node ends when it is asked to: it serves on for a while, then finishes every call taken. */
-public final class PlannedEnd {
-    private static final Logger LOG = LoggerFactory.getLogger(PlannedEnd.class);
+public final class GracefulShutdown {
+    private static final Logger LOG = LoggerFactory.getLogger(GracefulShutdown.class);
     /** New connections go on coming for a while after a stop is asked for, as the front hears of it late. */
     private static final long SERVES_ON_NS = 700_000_000L;
 
@@ -29,7 +29,7 @@
     private volatile long longestNs;
 
     /** Makes the end of a node that serves with the acceptor. */
-    public PlannedEnd(Loop loop, Acceptor acceptor, Drain drain) {
+    public GracefulShutdown(Loop loop, Acceptor acceptor, Drain drain) {
         this.loop = loop;
         this.acceptor = acceptor;
         this.drain = drain;
--- a/daemon/src/main/java/trailthread/daemon/Lifecycle.java
+++ b/daemon/src/main/java/trailthread/daemon/Lifecycle.java
@@ -64,7 +64,7 @@
 
     /**
      * Starts what SIGTERM ends in order, from before its first call. Ends in 0 what would end in the signal's number: a
-     * planned end is no failure; what can't start ends as it would.
+     * graceful shutdown is no failure; what can't start ends as it would.
      */
     public static void start(Starting starting, Ending ending) throws IOException {
         Thread stop = new Thread(() -> {
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -54,7 +54,7 @@
     private final Roster roster;
     private final Acceptor acceptor;
     private final Drain drain;
-    private final PlannedEnd end;
+    private final GracefulShutdown shutdown;
     /** Null where operators are told nothing: no class of it is loaded then. */
     private final OperatorEndpoint operator;
     /** Null where the node has no levels of service: no class of it is loaded then. */
@@ -83,8 +83,8 @@
         acceptor = new Acceptor(loop, forClients, Math.min(forClients, (int) (CALLERS_SHARE * config.sockets())),
                 front, meter);
         drain = new Drain(loop, acceptor);
-        end = new PlannedEnd(loop, acceptor, drain);
-        end.waitsFor(longestNs(config));
+        shutdown = new GracefulShutdown(loop, acceptor, drain);
+        shutdown.waitsFor(longestNs(config));
     }
 
     /**
@@ -151,7 +151,7 @@
             try {
                 NodeConfig now = config.reload(environment);
                 config = now;
-                end.waitsFor(longestNs(now));
+                shutdown.waitsFor(longestNs(now));
                 loop.execute(() -> takeOver(now));
             } catch (ConfigException e) {
                 LOG.error("configuration not taken over: {}", e.getMessage());
@@ -176,7 +176,7 @@
 
     /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     void stop() throws InterruptedException {
-        end.await(config.name());
+        shutdown.await(config.name());
     }
 
     private static long longestNs(NodeConfig of) {
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -16,7 +16,7 @@
 import trailthread.configuration.OperatorFile;
 import trailthread.configuration.OperatorFileReader;
 import trailthread.daemon.Drain;
-import trailthread.daemon.PlannedEnd;
+import trailthread.daemon.GracefulShutdown;
 import trailthread.daemon.acceptor.Acceptor;
 import trailthread.daemon.acceptor.ServiceFront;
 import trailthread.daemon.operator.OperatorEndpoint;
@@ -51,7 +51,7 @@
     private final SplittableRandom random;
     private final Acceptor acceptor;
     private final Drain drain;
-    private final PlannedEnd end;
+    private final GracefulShutdown shutdown;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final String idPrefix;
     private long lastId;
@@ -73,7 +73,7 @@
         acceptor = new Acceptor(loop, forClients, (int) (forClients / FULL_SHARE),
                 new ServiceFront(new RouteTable(List.of()), Map.of(), this::newId), meter);
         drain = new Drain(loop, acceptor);
-        end = new PlannedEnd(loop, acceptor, drain);
+        shutdown = new GracefulShutdown(loop, acceptor, drain);
     }
 
     private static List<RequestClass> classes(ServicesConfig services) {
@@ -146,7 +146,7 @@
         List<Pool> begun = new ArrayList<>();
         int kept = 0;
         for (PoolConfig config : next.services().pools()) {
-            config.classes().forEach(c -> end.waitsFor(c.rules().deadlineNs()));
+            config.classes().forEach(c -> shutdown.waitsFor(c.rules().deadlineNs()));
             Pool before = old.get(config.name());
             if (before != null && before.config().equals(config)) {
                 pools.put(config.name(), before);
@@ -181,7 +181,7 @@
 
     /** Serves on for a while, then finishes every call taken; returns when all have had their time. */
     public void stop() throws InterruptedException {
-        end.await(file.name());
+        shutdown.await(file.name());
     }
 
     // ---- what it says of itself --------------------------------------------------------------------
--- a/daemon/src/test/java/trailthread/daemon/acceptor/EndByMomentTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/EndByMomentTest.java
@@ -29,7 +29,7 @@
 import trailthread.engine.meter.Meter;
 import trailthread.engine.worker.Made;
 
-/** What a client sees by what its connection carries when its end comes: once for a planned end, once for a drain. */
+/** What a client sees by what its connection carries when its end comes: for a graceful shutdown, and for a drain. */
 public class EndByMomentTest {
     /** More than the system holds for a connection whose client does not read. */
     private static final int LONG = 16 * 1024 * 1024;
@@ -104,7 +104,7 @@
     }
 
     @Test
-    public void aPlannedEnd() throws Exception {
+    public void aGracefulShutdown() throws Exception {
         ends(() -> {
             acceptor.endWithAnswers(true);
             acceptor.close(none::countDown);
