Answer every call before the platform may kill a node that was told to end

Cause: PlannedEnd.await waited 0.7 s, the longest deadline and 1 s; DEPLOY lets SIGKILL come after the longest deadline (3 s where it is longer) and 0.7 s. A call at a worker that hangs was waited for to its own deadline: one of 4 s, or one of any length that was read after 0.7 s on a connection that was still open, was found unanswered. Seen by a socket test of the untouched program (workers hang, clients send every 30 ms on kept connections until these end, SIGKILL at the earliest moment): all six cases failed, e.g. deadlines of 1.2 s: 'client 26 was not answered before the kill: the connection has ended', sent 0.78 s after SIGTERM.

Change: ShutdownPlan (pure) says by when all is answered, 0.15 s and the loop's lateness before the kill. Calls that come after SIGTERM have that as their deadline, so that the module tries again or gives up within it; Calls.answerBy gives up what is still out then, attempt and all. New calls go by the deadlines in force, older ones by the longest since the start: which of them the platform counts by after SIGHUP is not said. Where deadlines are very short the listening socket closes sooner, so that who comes last has half of the longest one. An operator's own file has no such time.

After: the six cases pass; a play during which the machine itself held a thread up by 30 ms or more tells nothing and is played again, ten times at most.

--- a/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
+++ b/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
@@ -9,49 +9,62 @@
 
 /** How a node ends when it is asked to: it serves on for a while, then finishes every call taken. */
 public final class GracefulShutdown {
-    private static final Logger LOG = LoggerFactory.getLogger(GracefulShutdown.class);
-    /** New connections go on coming for a while after a stop is asked for, as the front hears of it late. */
-    private static final long SERVES_ON_NS = 700_000_000L;
-
-    /**
-     * In the last part of that time, answers end their connections. No sooner: where nodes are restarted in
-     * turn, the clients that leave meet one that has just started.
-     */
-    private static final long LAST_ANSWERS_NS = 150_000_000L;
+    /** What holds the calls, where a process that takes too long is killed. */
+    public interface AtWork {
+        /**
+         * Calls taken from now on have their answers by the first time, all by the second; by {@link Loop#now}, in
+         * nanoseconds.
+         */
+        void answerBy(long newOnes, long all);
+    }
 
-    /** A client that reads its last answer slowly is waited for so long. */
-    private static final long LAST_ANSWER_NS = 1_000_000_000L;
+    private static final Logger LOG = LoggerFactory.getLogger(GracefulShutdown.class);
+    /** A client that reads its last answer slowly, or a long one, is waited for so long, if nobody kills the node. */
+    private static final long LAST_ANSWER_NS = 1_700_000_000L;
 
     private final Loop loop;
     private final Acceptor acceptor;
     private final Drain drain;
-    /** Of all deadlines since the start: calls keep theirs when other settings hold. */
+    private final AtWork atWork;
+    /** The longest deadline by the settings in force. */
+    private volatile long inForceNs;
+    /** The same of all settings since the start: calls keep theirs when other settings hold. */
     private volatile long longestNs;
 
     /** Makes the end of a node that serves with the acceptor. */
-    public GracefulShutdown(Loop loop, Acceptor acceptor, Drain drain) {
+    public GracefulShutdown(Loop loop, Acceptor acceptor, Drain drain, AtWork atWork) {
         this.loop = loop;
         this.acceptor = acceptor;
         this.drain = drain;
+        this.atWork = atWork;
     }
 
-    /** Calls may have this deadline, in nanoseconds, from now on. To be called by one thread at a time. */
+    /** Calls have deadlines up to this, in nanoseconds, from now on. To be called by one thread at a time. */
     public void waitsFor(long deadlineNs) {
+        inForceNs = deadlineNs;
         longestNs = Math.max(longestNs, deadlineNs);
     }
 
     /** Ends the node; returns when all calls have had their time. */
     public void await(String name) throws InterruptedException {
+        long askedAt = loop.now(); // not when the loop comes to it, which may be late
         CountDownLatch done = new CountDownLatch(1);
-        loop.execute(() -> {
-            LOG.info("{} stops", name);
-            drain.end();
-            acceptor.setReady(false);
-            // Where another process accepts for this one, clients that are sent away meet it at once.
-            long servesOnNs = acceptor.leavesToOthers() ? LAST_ANSWERS_NS : SERVES_ON_NS;
-            loop.after(servesOnNs - LAST_ANSWERS_NS, () -> acceptor.endWithAnswers(true));
-            loop.after(SERVES_ON_NS, () -> acceptor.close(done::countDown));
-        });
-        done.await(SERVES_ON_NS + longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
+        loop.execute(() -> begin(name, askedAt, done));
+        done.await(longestNs + LAST_ANSWER_NS, TimeUnit.NANOSECONDS);
+    }
+
+    private void begin(String name, long askedAt, CountDownLatch done) {
+        LOG.info("{} stops", name);
+        drain.end();
+        acceptor.setReady(false);
+        long latenessNs = loop.turns().latenessNs(System.nanoTime());
+        // Which deadlines the platform counts by after SIGHUP is not said: new calls come under the newest.
+        ShutdownPlan plan = ShutdownPlan.of(inForceNs, latenessNs);
+        atWork.answerBy(askedAt + plan.answeredNs(), askedAt + ShutdownPlan.of(longestNs, latenessNs).answeredNs());
+        long pastNs = loop.now() - askedAt;
+        // Where another process accepts for this one, clients that are sent away meet it at once.
+        long lastAnswersNs = acceptor.leavesToOthers() ? 0 : plan.lastAnswersNs();
+        loop.after(lastAnswersNs - pastNs, () -> acceptor.endWithAnswers(true));
+        loop.after(plan.closesNs() - pastNs, () -> acceptor.close(done::countDown));
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -83,7 +83,7 @@
         acceptor = new Acceptor(loop, forClients, Math.min(forClients, (int) (CALLERS_SHARE * config.sockets())),
                 front, meter);
         drain = new Drain(loop, acceptor);
-        shutdown = new GracefulShutdown(loop, acceptor, drain);
+        shutdown = new GracefulShutdown(loop, acceptor, drain, calls::answerBy);
         shutdown.waitsFor(longestNs(config));
     }
 
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -73,7 +73,7 @@
         acceptor = new Acceptor(loop, forClients, (int) (forClients / FULL_SHARE),
                 new ServiceFront(new RouteTable(List.of()), Map.of(), this::newId), meter);
         drain = new Drain(loop, acceptor);
-        shutdown = new GracefulShutdown(loop, acceptor, drain);
+        shutdown = new GracefulShutdown(loop, acceptor, drain, (newOnes, all) -> { }); // its operator says when to kill it
     }
 
     private static List<RequestClass> classes(ServicesConfig services) {
@@ -145,8 +145,8 @@
         pools.clear();
         List<Pool> begun = new ArrayList<>();
         int kept = 0;
+        shutdown.waitsFor(longestNs(next.services()));
         for (PoolConfig config : next.services().pools()) {
-            config.classes().forEach(c -> shutdown.waitsFor(c.rules().deadlineNs()));
             Pool before = old.get(config.name());
             if (before != null && before.config().equals(config)) {
                 pools.put(config.name(), before);
@@ -171,6 +171,11 @@
                 next.services().routes().size());
     }
 
+    private static long longestNs(ServicesConfig services) {
+        return services.pools().stream().flatMap(pool -> pool.classes().stream())
+                .mapToLong(c -> c.rules().deadlineNs()).max().orElse(0);
+    }
+
     private ServiceFront front() {
         return new ServiceFront(new RouteTable(file.services().routes()), pools, this::newId);
     }
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -180,6 +180,15 @@
         }
     }
 
+    /** It is not waited for any longer: it has its answer now, and what is out for it is given up. */
+    void giveUp() {
+        if (!finished) {
+            fail();
+            gone();
+            cancel(delegations - 1);
+        }
+    }
+
     private void overdue() {
         if (!finished) {
             LOG.error("call {} of class {} was not answered in time", client.id(), client.requestClass());
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -41,6 +41,8 @@
     private boolean over;
     private Predicate<String> mayProbe = backend -> true;
     private long lastId;
+    /** No call waits for its answer longer, by {@link Loop#now}. */
+    private long answeredBy = Long.MAX_VALUE;
 
     public Calls(Loop loop, Workers workers, Settings settings, long seed, Meter meter) {
         this.meter = meter;
@@ -74,6 +76,20 @@
         endIfDone();
     }
 
+    /**
+     * The process may be killed soon: calls taken from now on have their answers by the first time, and the module
+     * plans for that; all have them by the second. By {@link Loop#now}, in nanoseconds.
+     */
+    public void answerBy(long newOnes, long all) {
+        answeredBy = newOnes;
+        loop.afterReading(all - now(), () -> {
+            if (!calls.isEmpty()) {
+                LOG.warn("{} calls are given up: the process may be killed before they have their time", calls.size());
+                List.copyOf(calls.values()).forEach(Call::giveUp);
+            }
+        });
+    }
+
     private void endIfDone() {
         if (whenOver != null && !over && calls.isEmpty()) {
             over = true;
@@ -104,7 +120,7 @@
     @Override
     public Runnable take(ClientCall client, long deadline, Reply reply) {
         openIds.add(client.id());
-        Call call = new Call(this, ++lastId, client, deadline, reply);
+        Call call = new Call(this, ++lastId, client, Math.min(deadline, answeredBy), reply);
         calls.put(lastId, call);
         meter.taken(client.requestClass());
         call.taken();
