--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -73,7 +73,7 @@
         acceptor = new Acceptor(loop, forClients, (int) (forClients / FULL_SHARE),
                 new ServiceFront(new RouteTable(List.of()), Map.of(), this::newId), meter);
         drain = new Drain(loop, acceptor);
-        shutdown = new GracefulShutdown(loop, acceptor, drain, (newOnes, all) -> { }); // its operator says when to kill it
+        shutdown = new GracefulShutdown(loop, acceptor, drain, (newOnes, all) -> { }); // its operator says when to kill
     }
 
     private static List<RequestClass> classes(ServicesConfig services) {
