Wait in the test of given-back room until the node has read the last answer

The test now waits for it: the worker has answered, and a call after it has been served. Its claims are the same.

--- a/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
+++ b/daemon/src/test/java/trailthread/daemon/LongMessagesTest.java
@@ -209,9 +209,11 @@
     @Test
     public void theRoomOfClientsThatLeaveIsGivenBack() throws Exception {
         Semaphore answers = new Semaphore(0);
+        Semaphore answered = new Semaphore(0);
         Peer worker = stage.add(new Peer(request -> {
             answers.acquireUninterruptibly();
             request.answer("200 OK", "", "made");
+            answered.release();
         }));
         stage.start(Stage.SETTINGS, worker);
         String body = new String(bytes(3 * LONG), StandardCharsets.ISO_8859_1); // there is room for one
@@ -222,7 +224,11 @@
             leaves.close();
             stage.awaitFigure("app_current 0");
             answers.release();
-            worker.closed.clear();
+            answered.acquireUninterruptibly();
+            answers.release();
+            assertEquals("made", stage.call("state").body()); // by then, the node has read the answer before
+            worker.asked();
+            answered.acquireUninterruptibly();
         }
         AtomicInteger asked = new AtomicInteger();
         worker.setScript(request -> {
