Drop no call that a client has sent ahead, at a last answer or past 16 KiB

Cause, by socket tests of the untouched program: HttpReply.keepAhead read past what a 16 KiB buffer did not hold, whole calls among it, and ended the connection with the answer; HttpReply.head ended it while a shutdown, a drain or a crowd asked for that, whatever had been read behind the call ('expected:<null> but was:<close>': the second and third call got no answer).

Change: what is sent ahead is kept in a buffer that doubles, up to 256 KiB of a connection and out of the room of long bodies; what finds no room is not read until the answer has gone. A client's leaving is still seen, but for what lies past that room. An answer ends its connection only if nothing has come behind its call.

--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -219,7 +219,7 @@
         ClientConnection client = ClientConnection.of(exchange);
         client.setOwner(incoming.taker().owner());
         return new HttpReply(loop, exchange, incoming.plain(), () -> connections.endsWithAnswer(client),
-                () -> bodies.give(room), unread);
+                bodies, () -> bodies.give(room), unread);
     }
 
     private void whole(HttpServerExchange exchange, Incoming incoming, byte[] body, long kept) {
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -32,11 +32,10 @@
     private final HttpServerExchange exchange;
     private final boolean plain;
     private final BooleanSupplier closing;
+    private final BodyRoom room;
     private final Runnable released;
     private final Runnable unread;
     private boolean answered;
-    /** More than is kept has come behind the call: nothing on this connection can be read after its answer. */
-    private boolean sentTooMuch;
     /** Runs if the client goes away; null: it is not watched. */
     private Runnable gone;
     /** The answer, if it is passed on as it comes; else null. */
@@ -45,15 +44,17 @@
     /**
      * @param plain   whether a worker's status and headers are passed on
      * @param closing  whether the connection is to end with the answer
+     * @param room     what is sent ahead takes of it, past a buffer
      * @param released runs once nothing of the call is kept
      * @param unread   runs before an answer that goes out while the body has not come whole
      */
-    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing, Runnable released,
-              Runnable unread) {
+    HttpReply(Loop loop, HttpServerExchange exchange, boolean plain, BooleanSupplier closing, BodyRoom room,
+              Runnable released, Runnable unread) {
         this.loop = loop;
         this.exchange = exchange;
         this.plain = plain;
         this.closing = closing;
+        this.room = room;
         this.released = released;
         this.unread = unread;
     }
@@ -116,7 +117,8 @@
             exchange.setPersistent(false);
         }
         exchange.setStatusCode(status);
-        if (closing.getAsBoolean() || sentTooMuch) {
+        // Guards calls that have come whole behind this one: with their connection, they would be lost.
+        if (closing.getAsBoolean() && !hasSentAhead()) {
             exchange.setPersistent(false);
         }
     }
@@ -139,7 +141,7 @@
 
     /**
      * Undertow reads nothing while a call is at work; a client that closes would go unnoticed. What it may
-     * send ahead instead is handed back for the next call.
+     * send ahead instead is handed back for the next calls.
      */
     void watchClient(Runnable whenGone) {
         if (answered) {
@@ -158,16 +160,25 @@
         }
     }
 
+    /** Reads on while a call is at work; what finds no room stays in the socket, and hides that its client has left. */
     private void readAhead(AbstractServerConnection connection) {
-        int count = -1;
+        int count = 0;
         try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
             ByteBuffer bytes = pooled.getBuffer();
             int most = Loop.MOST_IN_TURN_BYTES;
-            while (most > 0 && (count = connection.getOriginalSourceConduit().read(bytes)) > 0) {
+            do {
+                int free = freeAhead(connection);
+                if (free == 0) {
+                    connection.getOriginalSourceConduit().suspendReads();
+                    return;
+                }
+                bytes.clear().limit(Math.min(bytes.capacity(), free));
+                count = connection.getOriginalSourceConduit().read(bytes);
+                if (count > 0) {
+                    keepAhead(connection, bytes.flip());
+                }
                 most -= count;
-                keepAhead(connection, bytes.flip());
-                bytes.clear();
-            }
+            } while (count > 0 && most > 0);
         } catch (IOException e) {
             count = -1; // as good as closed
         }
@@ -183,27 +194,36 @@
         }
     }
 
-    /**
-     * Keeps what was sent ahead, behind what came so before: Undertow has some if it came along with the call. What is
-     * more than a buffer holds is read past, and the connection ends with the answer: left unread, it would hide that
-     * its client has left.
-     */
-    private void keepAhead(AbstractServerConnection connection, ByteBuffer bytes) {
-        if (sentTooMuch) {
-            return;
+    /** How much more may be kept of what is sent ahead. */
+    private int freeAhead(AbstractServerConnection connection) {
+        PooledByteBuffer kept = connection.getExtraBytes();
+        if (kept == null) {
+            return Integer.MAX_VALUE; // a buffer of the pool, which holds as much as is read in one go
         }
+        int free = kept.getBuffer().capacity() - kept.getBuffer().remaining();
+        SentAhead larger = free > 0 ? null : SentAhead.twice(kept, room);
+        if (larger == null) {
+            return free;
+        }
+        connection.setExtraBytes(larger);
+        return larger.getBuffer().capacity() - larger.getBuffer().remaining();
+    }
+
+    /** Behind what came so before: Undertow has some if it came along with the call. */
+    private static void keepAhead(AbstractServerConnection connection, ByteBuffer bytes) {
         PooledByteBuffer kept = connection.getExtraBytes();
         if (kept == null) {
             kept = connection.getByteBufferPool().allocate();
             kept.getBuffer().limit(0);
             connection.setExtraBytes(kept);
         }
-        ByteBuffer ahead = kept.getBuffer().compact();
-        if (bytes.remaining() > ahead.remaining()) {
-            sentTooMuch = true;
-        } else {
-            ahead.put(bytes);
-        }
-        ahead.flip();
+        kept.getBuffer().compact().put(bytes).flip();
+    }
+
+    /** Whether the client has sent more than this call, and waits for what comes of that, too. */
+    private boolean hasSentAhead() {
+        PooledByteBuffer kept = exchange.getConnection() instanceof AbstractServerConnection connection
+                ? connection.getExtraBytes() : null;
+        return kept != null && kept.getBuffer().hasRemaining();
     }
 }
