--- a/decisions/src/test/java/trailthread/ListCallsTest.java
+++ b/decisions/src/test/java/trailthread/ListCallsTest.java
@@ -12,8 +12,8 @@
 import trailthread.BalancerApi.Settings;
 
 /**
- * Calls for the list that fail at all nodes at once, in virtual time: discovery handles one after another, and
- * one that has waited for too long in vain.
+ * Calls for the list that fail at all nodes at once, in virtual time: discovery handles one after another,
+ * and one that has waited for too long in vain.
  */
 public class ListCallsTest {
     private static final int PERIOD_S = 10;
