Call an attempt an attempt: no more delegations

Delegation, DelegationListener and delegate are Attempt, AttemptListener and attempt; what is out of a call is out. Names and comments alone.

--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -67,7 +67,7 @@
     private final Calls calls;
     /** Ids of the node's own calls begin so; no client's does. */
     private final String prefix;
-    private final Set<String> delegated = new HashSet<>();
+    private final Set<String> attempted = new HashSet<>();
     private Runnable done;
     private long startedAt;
     private long endsAt;
@@ -146,7 +146,7 @@
         RequestClass c = classes.get(count++ % classes.size());
         boolean safe = c.semantics() == Semantics.SAFE;
         String id = prefix + count;
-        workers.delegate(SELF, new WorkerRequest(id, c.name(), safe ? "GET" : "POST", "/" + c.name(),
+        workers.attempt(SELF, new WorkerRequest(id, c.name(), safe ? "GET" : "POST", "/" + c.name(),
                 c.semantics() == Semantics.KEYED ? id : null, safe ? new byte[0] : BODY, null),
                 CALL_WITHIN_NS, this::next);
     }
@@ -170,7 +170,7 @@
             reply.overload(CALL_WITHIN_NS);
             return () -> { };
         }
-        if (delegated.add(call.id())) {
+        if (attempted.add(call.id())) {
             return calls.take(call, deadline, reply);
         }
         reply.served(Made.of(BODY));
--- a/daemon/src/main/java/trailthread/daemon/acceptor/LongAnswer.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/LongAnswer.java
@@ -44,7 +44,7 @@
     @Override
     public boolean piece(ByteBuffer piece) {
         if (over) {
-            return true; // the delegation hears of it in its turn
+            return true; // the attempt hears of it in its turn
         }
         try {
             while (left == null && piece.hasRemaining()) {
@@ -119,7 +119,7 @@
         }
     }
 
-    /** Not from within the delegation's own call, which the end of the delegation would enter again. */
+    /** Not from within the attempt's own call, which the end of the attempt would enter again. */
     void clientGone() {
         if (over) {
             return;
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -8,13 +8,13 @@
 import trailthread.BalancerApi.Outcome;
 import trailthread.engine.meter.Answer;
 import trailthread.engine.http.ByteSink;
-import trailthread.engine.worker.Delegation;
-import trailthread.engine.worker.DelegationListener;
+import trailthread.engine.worker.Attempt;
+import trailthread.engine.worker.AttemptListener;
 import trailthread.engine.worker.Ending;
 import trailthread.engine.worker.Made;
 import trailthread.engine.worker.WorkerRequest;
 
-/** The life of one call, from top to bottom: taken, choice, delegation, outcome, answer. */
+/** The life of one call, from top to bottom: taken, choice, attempt, outcome, answer. */
 final class Call {
     private static final Logger LOG = LoggerFactory.getLogger(Call.class);
 
@@ -26,11 +26,11 @@
     private final Reply reply;
     private final WorkerRequest request;
     private XnioExecutor.Key overdue;
-    private int delegations;
-    /** From its taking to its first delegation; -1: there was none. */
+    private int attempts;
+    /** From its taking to its first attempt; -1: there was none. */
     private long waitedNs = -1;
     /** What is out at a worker, or null. */
-    private Delegation delegation;
+    private Attempt out;
     /** It has its answer, or its client has gone: no answer is owed. */
     private boolean finished;
     /** A long answer is on its way to the client. */
@@ -57,19 +57,19 @@
     }
 
     /** The choice: a worker, how long to wait for it (0: as long as the client does), and until when it is written. */
-    void delegate(String worker, long timeoutNs, long writtenBy) {
-        int attempt = delegations++;
+    void attempt(String worker, long timeoutNs, long writtenBy) {
+        int attempt = attempts++;
         calls.meter().attemptBegun(worker);
         long now = calls.now();
         waitedNs = attempt == 0 ? now - takenAt : waitedNs;
         long left = deadline - now;
         boolean spent = client.source() != null && client.source().hasBegun(); // such a body can't be sent again
-        if (finished || delegation != null || left <= 0 || spent) {
+        if (finished || out != null || left <= 0 || spent) {
             outcome(worker, attempt, new Ending(Outcome.MOOT, 0, null, null));
             return;
         }
         long wait = timeoutNs == 0 ? left : Math.min(timeoutNs, left);
-        delegation = calls.workers().delegate(worker, request, wait, writtenBy, new DelegationListener() {
+        out = calls.workers().attempt(worker, request, wait, writtenBy, new AttemptListener() {
             @Override
             public boolean isWanted() {
                 // Guards against a loop that runs late: that the client has left lies unread in its socket, or came
@@ -93,7 +93,7 @@
 
             @Override
             public void ended(Ending ending) {
-                delegation = null;
+                out = null;
                 outcome(worker, attempt, ending);
             }
         });
@@ -166,17 +166,17 @@
             calls.meter().gone(client.requestClass());
         }
         finish();
-        if (delegation != null && (streams || client.source() != null || !delegation.isSent())) {
-            delegation.cancel(); // nobody reads the rest, or sends it, or waits for what has not begun
+        if (out != null && (streams || client.source() != null || !out.isSent())) {
+            out.cancel(); // nobody reads the rest, or sends it, or waits for what has not begun
         }
         calls.decisions().event(null, (module, now) -> module.gone(now, id));
         forgetIfDone();
     }
 
-    /** The module no longer waits for a delegation. */
+    /** The module no longer waits for an attempt. */
     void cancel(int attempt) {
-        if (delegation != null && attempt == delegations - 1) {
-            delegation.cancel();
+        if (out != null && attempt == attempts - 1) {
+            out.cancel();
         }
     }
 
@@ -185,7 +185,7 @@
         if (!finished) {
             fail();
             gone();
-            cancel(delegations - 1);
+            cancel(attempts - 1);
         }
     }
 
@@ -207,7 +207,7 @@
     }
 
     private void forgetIfDone() {
-        if (finished && delegation == null) {
+        if (finished && out == null) {
             calls.forget(this, id, client.id());
         }
     }
--- a/engine/src/main/java/trailthread/engine/call/Calls.java
+++ b/engine/src/main/java/trailthread/engine/call/Calls.java
@@ -172,7 +172,7 @@
     public void send(long id, long timeoutNs, long writtenBy, String backend) {
         Call call = calls.get(id);
         if (call != null) {
-            call.delegate(backend, timeoutNs, writtenBy);
+            call.attempt(backend, timeoutNs, writtenBy);
         }
     }
 
--- a/engine/src/main/java/trailthread/engine/worker/Delegation.java
+++ b/engine/src/main/java/trailthread/engine/worker/Attempt.java
@@ -20,7 +20,7 @@
  * One attempt at a worker: a connection, the request, the answer, the ending. It is over, and its connection
  * closed, before anyone hears of its ending, so that no second copy can be out beside it.
  */
-public final class Delegation implements AnswerListener {
+public final class Attempt implements AnswerListener {
     /** What is longer is passed on as it comes. */
     private static final int MOST_HELD_BYTES = 64 * 1024;
     /**
@@ -37,7 +37,7 @@
     private final Connections connections;
     private final Worker worker;
     private final WorkerRequest request;
-    private final DelegationListener listener;
+    private final AttemptListener listener;
     private final long startedAt;
     private final long endsAt;
     /** From then on no byte of it may be written. */
@@ -63,8 +63,8 @@
     private HeaderMap passed;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(512);
 
-    Delegation(Loop loop, Connections connections, Worker worker, WorkerRequest request, long timeoutNs,
-               long writtenBy, DelegationListener listener) {
+    Attempt(Loop loop, Connections connections, Worker worker, WorkerRequest request, long timeoutNs,
+            long writtenBy, AttemptListener listener) {
         this.loop = loop;
         this.connections = connections;
         this.worker = worker;
--- a/engine/src/main/java/trailthread/engine/worker/DelegationListener.java
+++ b/engine/src/main/java/trailthread/engine/worker/AttemptListener.java
@@ -3,8 +3,8 @@
 import trailthread.BalancerApi.Load;
 import trailthread.engine.http.ByteSink;
 
-/** Hears what becomes of one delegation. */
-public interface DelegationListener {
+/** Hears what becomes of one attempt. */
+public interface AttemptListener {
     /** Whether anybody still waits for it: asked right before its first byte is written. */
     default boolean isWanted() {
         return true;
@@ -15,7 +15,7 @@
     }
 
     /**
-     * A long answer begins. It is passed on as it comes, and the delegation ends no sooner than the answer does.
+     * A long answer begins. It is passed on as it comes, and the attempt ends no sooner than the answer does.
      *
      * @param head   its status, and its headers if they are passed on; no body
      * @param length of the body, in bytes; -1: its end will tell
--- a/engine/src/main/java/trailthread/engine/worker/Ending.java
+++ b/engine/src/main/java/trailthread/engine/worker/Ending.java
@@ -4,7 +4,7 @@
 import trailthread.BalancerApi.Outcome;
 
 /**
- * How a delegation ended.
+ * How an attempt ended.
  *
  * @param load or null
  * @param made what the worker made, if the outcome is OK
--- a/engine/src/main/java/trailthread/engine/worker/Workers.java
+++ b/engine/src/main/java/trailthread/engine/worker/Workers.java
@@ -83,30 +83,30 @@
         return connections.byState();
     }
 
-    /** Starts a delegation that may be written for as long as its answer is waited for. */
-    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs,
-                               DelegationListener listener) {
-        return delegate(instanceId, request, timeoutNs, Long.MAX_VALUE, listener);
+    /** Starts an attempt that may be written for as long as its answer is waited for. */
+    public Attempt attempt(String instanceId, WorkerRequest request, long timeoutNs,
+                           AttemptListener listener) {
+        return attempt(instanceId, request, timeoutNs, Long.MAX_VALUE, listener);
     }
 
     /**
-     * Starts a delegation.
+     * Starts an attempt.
      *
      * @param timeoutNs how long its answer is waited for
      * @param writtenBy no byte is written then or later, by {@link Loop#now}
      * @param listener  hears of it, never from within this call
      */
-    public Delegation delegate(String instanceId, WorkerRequest request, long timeoutNs, long writtenBy,
-                               DelegationListener listener) {
+    public Attempt attempt(String instanceId, WorkerRequest request, long timeoutNs, long writtenBy,
+                           AttemptListener listener) {
         Worker worker = workers.get(instanceId);
-        Delegation delegation = new Delegation(loop, connections, worker, request, timeoutNs, writtenBy, listener);
-        loop.execute(() -> account.charge(delegation::start));
-        return delegation;
+        Attempt attempt = new Attempt(loop, connections, worker, request, timeoutNs, writtenBy, listener);
+        loop.execute(() -> account.charge(attempt::start));
+        return attempt;
     }
 
     /** Asks a worker for its load; its ending holds what it told. */
     public void probe(String instanceId, long timeoutNs, Consumer<Ending> ended) {
-        delegate(instanceId, WorkerRequest.PROBE, timeoutNs, ended::accept);
+        attempt(instanceId, WorkerRequest.PROBE, timeoutNs, ended::accept);
     }
 
     /** Closes as many idle connections, to whichever worker. */
--- a/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LateLoopTest.java
@@ -55,18 +55,18 @@
         return workers;
     }
 
-    private void delegate(Workers workers, long timeoutNs) {
-        delegate(workers, timeoutNs, Long.MAX_VALUE, "1", 4);
+    private void attempt(Workers workers, long timeoutNs) {
+        attempt(workers, timeoutNs, Long.MAX_VALUE, "1", 4);
     }
 
-    private void delegate(Workers workers, long timeoutNs, long writtenBy, String id, int length) {
-        workers.delegate("w", new WorkerRequest(id, "use", "POST", "/use", null, new byte[length], null), timeoutNs,
+    private void attempt(Workers workers, long timeoutNs, long writtenBy, String id, int length) {
+        workers.attempt("w", new WorkerRequest(id, "use", "POST", "/use", null, new byte[length], null), timeoutNs,
                 writtenBy, endings::add);
     }
 
     private Ending ending() throws InterruptedException {
         Ending ending = endings.poll(30, TimeUnit.SECONDS);
-        assertNotNull("the delegation ends", ending);
+        assertNotNull("the attempt ends", ending);
         return ending;
     }
 
@@ -101,7 +101,7 @@
     @Test
     public void anAnswerThatHasComeIsNoTimeOut() throws Exception {
         Workers workers = workers(LONG_NS);
-        loop.execute(() -> delegate(workers, 400 * MS));
+        loop.execute(() -> attempt(workers, 400 * MS));
         try (Socket connection = server.accept()) {
             readRequest(connection);
             loop.execute(() -> {
@@ -123,7 +123,7 @@
         Workers workers = new Workers(loop, LONG_NS, 1_000 * MS, 0, ConnectionRoom.of(16), 500 * MS, Account.NONE);
         loop.execute(() -> workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
                 "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now()));
-        loop.execute(() -> delegate(workers, LONG_NS));
+        loop.execute(() -> attempt(workers, LONG_NS));
         server.setSoTimeout(10_000);
         try (Socket first = server.accept()) {
             readRequest(first);
@@ -131,10 +131,10 @@
             assertEquals(Outcome.OK, ending().outcome());
             loop.execute(() -> {
                 sleep(500);
-                delegate(workers, LONG_NS, 1, "late", 4);
+                attempt(workers, LONG_NS, 1, "late", 4);
                 loop.execute(() -> loop.execute(() -> { // after the late one's turn
                     sleep(500);
-                    delegate(workers, LONG_NS, Long.MAX_VALUE, "2", 4);
+                    attempt(workers, LONG_NS, Long.MAX_VALUE, "2", 4);
                 }));
             });
             assertEquals(Outcome.MOOT, ending().outcome());
@@ -150,7 +150,7 @@
         Workers workers = new Workers(loop, LONG_NS, 1_000 * MS, 0, ConnectionRoom.of(16), 500 * MS, Account.NONE);
         loop.execute(() -> workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
                 "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now()));
-        loop.execute(() -> delegate(workers, LONG_NS));
+        loop.execute(() -> attempt(workers, LONG_NS));
         server.setSoTimeout(10_000);
         try (Socket first = server.accept()) {
             readRequest(first);
@@ -158,7 +158,7 @@
             assertEquals(Outcome.OK, ending().outcome());
             loop.execute(() -> {
                 sleep(1_000);
-                delegate(workers, LONG_NS, Long.MAX_VALUE, "2", 4);
+                attempt(workers, LONG_NS, Long.MAX_VALUE, "2", 4);
             });
             try (Socket second = server.accept()) {
                 assertTrue(readRequest(second).contains("X-Correlation-Id: 2\r\n"));
@@ -172,8 +172,8 @@
         int length = 100_000;
         Workers workers = workers(LONG_NS);
         AtomicInteger passed = new AtomicInteger();
-        loop.execute(() -> workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null),
-                400 * MS, new DelegationListener() {
+        loop.execute(() -> workers.attempt("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null),
+                400 * MS, new AttemptListener() {
                     @Override
                     public ByteSink begins(Made head, long told, Load load, Runnable more) {
                         return new ByteSink() {
@@ -228,7 +228,7 @@
     public void aConnectionThatHasComeUpIsNoFailure() throws Exception {
         Workers workers = workers(100 * MS);
         loop.execute(() -> {
-            delegate(workers, LONG_NS);
+            attempt(workers, LONG_NS);
             loop.execute(() -> sleep(300));
         });
         try (Socket connection = server.accept()) {
@@ -242,11 +242,11 @@
     public void whatMayNoLongerBeWrittenOnceItsConnectionIsUpIsNot() throws Exception {
         Workers workers = workers(LONG_NS);
         loop.execute(() -> {
-            delegate(workers, LONG_NS, loop.now() + 100 * MS, "late", 4);
+            attempt(workers, LONG_NS, loop.now() + 100 * MS, "late", 4);
             loop.execute(() -> sleep(300));
         });
         assertEquals(Outcome.MOOT, ending().outcome());
-        loop.execute(() -> delegate(workers, LONG_NS, Long.MAX_VALUE, "next", 4));
+        loop.execute(() -> attempt(workers, LONG_NS, Long.MAX_VALUE, "next", 4));
         try (Socket connection = server.accept()) {
             assertTrue("its connection serves the next", readRequest(connection).contains("next"));
         }
@@ -256,20 +256,20 @@
     @Test
     public void whatMayNoLongerBeWrittenWhenItsTurnComesIsNot() throws Exception {
         Workers workers = workers(LONG_NS);
-        loop.execute(() -> delegate(workers, LONG_NS));
+        loop.execute(() -> attempt(workers, LONG_NS));
         try (Socket connection = server.accept()) {
             readRequest(connection);
             answer(connection);
             assertEquals(Outcome.OK, ending().outcome());
             for (boolean ofItsTime : new boolean[] {false, true}) {
                 loop.execute(() -> {
-                    delegate(workers, ofItsTime ? 100 * MS : LONG_NS,
+                    attempt(workers, ofItsTime ? 100 * MS : LONG_NS,
                             ofItsTime ? Long.MAX_VALUE : loop.now() + 100 * MS, "late", 4);
                     sleep(300); // it starts once this is over
                 });
                 assertEquals(Outcome.MOOT, ending().outcome());
             }
-            loop.execute(() -> delegate(workers, LONG_NS, Long.MAX_VALUE, "next", 4));
+            loop.execute(() -> attempt(workers, LONG_NS, Long.MAX_VALUE, "next", 4));
             assertTrue(readRequest(connection).contains("next"));
         }
     }
@@ -279,7 +279,7 @@
     public void theRestOfWhatMayNoLongerBeWrittenIsNot() throws Exception {
         int length = 32 * 1024 * 1024; // more than the system holds for a connection
         Workers workers = workers(LONG_NS);
-        loop.execute(() -> delegate(workers, LONG_NS, loop.now() + 500 * MS, "late", length));
+        loop.execute(() -> attempt(workers, LONG_NS, loop.now() + 500 * MS, "late", length));
         try (Socket connection = server.accept()) {
             sleep(700);
             assertTrue(connection.getInputStream().readAllBytes().length < length);
@@ -291,7 +291,7 @@
     @Test
     public void theLoopsOwnTimeIsNotTheWorkers() throws Exception {
         Workers workers = workers(LONG_NS);
-        loop.execute(() -> delegate(workers, LONG_NS));
+        loop.execute(() -> attempt(workers, LONG_NS));
         try (Socket connection = server.accept()) {
             for (int i = 0; i < 2; i++) {
                 readRequest(connection);
@@ -310,7 +310,7 @@
                 assertTrue("took " + ending.latencyNs(), ending.latencyNs() < 900 * MS);
                 assertTrue("the first is known", late || ending.latencyNs() > 0);
                 sleep(20); // the connection is not used before it has settled
-                loop.execute(() -> delegate(workers, LONG_NS));
+                loop.execute(() -> attempt(workers, LONG_NS));
             }
         }
     }
--- a/engine/src/test/java/trailthread/engine/worker/LatencyTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/LatencyTest.java
@@ -38,7 +38,7 @@
             loop.execute(() -> {
                 workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w",
                         "127.0.0.1:" + server.getLocalPort(), "a", 0, State.READY, 1, 0))), loop.now());
-                workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null),
+                workers.attempt("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[4], null),
                         LONG_NS, endings::add);
             });
             assertTrue(first.isConnected() && second.isConnected());
@@ -52,7 +52,7 @@
                 String answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
                 out.write(answer.getBytes(StandardCharsets.US_ASCII));
                 Ending ending = endings.poll(30, TimeUnit.SECONDS);
-                assertNotNull("the delegation ends", ending);
+                assertNotNull("the attempt ends", ending);
                 assertEquals(Outcome.OK, ending.outcome());
                 assertTrue(ending.latencyNs() <= loop.now() - hungUntil);
             }
--- a/engine/src/test/java/trailthread/engine/worker/OutcomeByMomentTest.java
+++ b/engine/src/test/java/trailthread/engine/worker/OutcomeByMomentTest.java
@@ -70,7 +70,7 @@
 
     private void plays(String moment, int length, long timeoutNs, Act act, Outcome expected) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            delegate(server.getLocalPort(), length, timeoutNs, LONG_NS);
+            attempt(server.getLocalPort(), length, timeoutNs, LONG_NS);
             try (Socket connection = server.accept()) {
                 act.on(connection);
                 ends(moment, expected);
@@ -78,12 +78,12 @@
         }
     }
 
-    private Workers delegate(int port, int length, long timeoutNs, long connectNs) {
+    private Workers attempt(int port, int length, long timeoutNs, long connectNs) {
         Workers workers = new Workers(loop, connectNs, LONG_NS, 0, ConnectionRoom.of(4), 0, Account.NONE);
         loop.execute(() -> {
             workers.update(new RosterUpdate(1, true, List.of(new RosterEntry("w", "127.0.0.1:" + port, "a", 0,
                     State.READY, 1, 0))), loop.now());
-            workers.delegate("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[length], null),
+            workers.attempt("w", new WorkerRequest("1", "use", "POST", "/use", null, new byte[length], null),
                     timeoutNs, endings::add);
         });
         return workers;
@@ -101,14 +101,14 @@
                 Socket first = new Socket(server.getInetAddress(), server.getLocalPort());
                 Socket second = new Socket(server.getInetAddress(), server.getLocalPort())) {
             assertEquals(first.getPort(), second.getPort()); // these fill the backlog
-            delegate(server.getLocalPort(), SHORT, LONG_NS, 200 * MS);
+            attempt(server.getLocalPort(), SHORT, LONG_NS, 200 * MS);
             ends("the connection does not come up", Outcome.CONNECT_FAILED);
-            delegate(server.getLocalPort(), SHORT, 200 * MS, LONG_NS);
+            attempt(server.getLocalPort(), SHORT, 200 * MS, LONG_NS);
             ends("its time is over before that", Outcome.CONNECT_FAILED);
         }
         ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         closed.close();
-        delegate(closed.getLocalPort(), SHORT, LONG_NS, LONG_NS);
+        attempt(closed.getLocalPort(), SHORT, LONG_NS, LONG_NS);
         ends("the connection is refused", Outcome.CONNECT_FAILED);
     }
 
