Tell operators of up to 1,024 single workers

NodeMetrics.MOST_WORKERS_SHOWN was 200, the only cap on lists found below 1,024 (looked at all constants of 64 to 1,024 in engine, daemon and decisions: the others are buffers, bytes of bodies and heads, backlogs, counts of calls and of keys).

--- a/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
@@ -17,7 +17,7 @@
 /** Counts what happens in one node. Plain figures, as all of it happens on the loop's thread. */
 final class NodeMetrics implements Meter {
     /** Past these, workers are told of by their sum. */
-    static final int MOST_WORKERS_SHOWN = 200;
+    static final int MOST_WORKERS_SHOWN = 1_024;
 
     private final Map<String, ClassFigures> classes = new LinkedHashMap<>();
     private final Map<String, WorkerFigures> workers = new HashMap<>();
