--- a/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
@@ -167,6 +167,56 @@
         }
     }
 
+    /** It left during the first attempt, and what would be the second had not begun. */
+    @Test
+    public void whoLeavesBetweenAttemptsIsNotServedAgain() throws Exception {
+        CountDownLatch turnedAway = new CountDownLatch(1);
+        worker.setScript(request -> {
+            Peer.await(turnedAway);
+            request.answer("503 Busy", "X-Unprocessed: 1\r\n", "");
+            worker.setScript(next -> next.answer("200 OK", "", "made"));
+        });
+        Socket client = connect();
+        String request = Stage.request("use", "", "");
+        loop.execute(this::list);
+        Message.send(client, request);
+        assertEquals(id(request), worker.asked().header("X-Correlation-Id"));
+        CountDownLatch goOn = new CountDownLatch(1);
+        loop.execute(() -> Peer.await(goOn));
+        client.close();
+        turnedAway.countDown();
+        goOn.countDown();
+        onlyOneWhoStaysIsServed();
+    }
+
+    /** Its connection to the worker came up after it had left. */
+    @Test
+    public void whoLeavesDuringAConnectIsNotServed() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        Socket client = connect();
+        String request = Stage.request("use", "", "");
+        Message.send(client, request);
+        awaitTaken(id(request));
+        loop.execute(() -> {
+            workers.closeIdle(1);
+            list(); // it is decided on, and connects
+            loop.execute(() -> Peer.await(goOn)); // the connect comes up meanwhile
+        });
+        client.close();
+        goOn.countDown();
+        onlyOneWhoStaysIsServed();
+    }
+
+    @Test
+    public void whoLeavesWithHalfABodyIsNeverTaken() throws Exception {
+        Socket client = connect();
+        String request = Stage.request("use", "", "");
+        Message.send(client, request.substring(0, request.length() - 2));
+        loop.execute(this::list);
+        client.close();
+        onlyOneWhoStaysIsServed();
+    }
+
     /** What came behind a call took the place of what had come along with it. */
     @Test
     public void aCallSentAheadInPiecesIsWhole() throws Exception {
