Let a node alone call a dead discovery twice a second at most, not twenty times

ListCallsTest.aNodeAloneDoesNotCallAllTheTime fails without the least of 1 s ('1097 calls in a minute'). Found by reading.

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -92,7 +92,7 @@
     /** What waits in vain: all nodes repeat so many in a period, half as many each time, to one in two. */
     private static final double CALLS_AGAIN = 200, LAST_ASK_AGAIN = 2;
     /** What fails sooner did not wait, and is repeated so soon: news is due 6 s after it could be had. */
-    private static final double WAITED_NS = 1.2e9, ASK_SOON_NS = 4e9;
+    private static final double WAITED_NS = 1.2e9, LEAST_SOON_NS = 1e9, ASK_SOON_NS = 4e9;
 
     /** Kinds of timer, in the low bits of a token; the rest is the request's id. */
     private static final int TIMER_DEADLINE = 0, TIMER_ASK = 1, TIMER_RELEASE = 2, TIMER_POLL = 3;
@@ -925,7 +925,7 @@
             boolean waited = !watching && now - askedAt > WAITED_NS;
             double period = settings.askEveryNs, spread = settings.nodes / CALLS_AGAIN * period;
             double slower = Math.min(LAST_ASK_AGAIN * period, spread * (1 << Math.min(failedCalls, 16)));
-            double soon = Math.min(2 * spread, ASK_SOON_NS);
+            double soon = Math.min(Math.max(2 * spread, LEAST_SOON_NS), ASK_SOON_NS);
             askAgainIn(waited ? (0.5 + random.nextDouble()) * slower : random.nextDouble() * soon);
             failedCalls += waited ? 1 : 0;
             watching = false;
--- a/decisions/src/test/java/trailthread/ListCallsTest.java
+++ b/decisions/src/test/java/trailthread/ListCallsTest.java
@@ -129,6 +129,20 @@
         }
     }
 
+    /** A node alone would call an address that answers nobody some twenty times a second. */
+    @Test
+    public void aNodeAloneDoesNotCallAllTheTime() {
+        Script s = fleet(1).get(0);
+        for (int at = 0; at < 60_000; at += TICK_MS) {
+            int before = s.watches;
+            s.pass(TICK_MS * MS);
+            if (s.watches > before) {
+                s.balancer.list(s.now, ListKind.FAILED, List.of());
+            }
+        }
+        assertTrue(s.watches + " calls in a minute", s.watches > 10 && s.watches < 180);
+    }
+
     /** Discovery takes longer for all of them than news may: nobody waits for good. */
     @Test
     public void aFleetThatAsksForMoreThanDiscoveryBearsIsServedAllTheSame() {
