--- a/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
@@ -173,8 +173,8 @@
         CountDownLatch turnedAway = new CountDownLatch(1);
         worker.setScript(request -> {
             Peer.await(turnedAway);
-            request.answer("503 Busy", "X-Unprocessed: 1\r\n", "");
             worker.setScript(next -> next.answer("200 OK", "", "made"));
+            request.answer("503 Busy", "X-Unprocessed: 1\r\n", "");
         });
         Socket client = connect();
         String request = Stage.request("use", "", "");
