Let a call on a quiet node keep its time: a look at the sockets after each long turn

Turns.hasSlept tells a sleep by a gap that is longer than what lies between the last known look and the last task (Turns.java). After one turn longer than the 50 ms between ClientConnections.lookAgain's timers, no gap passes for a sleep, and the last known look grows old until a socket is served. Since a call's time counts from that look (Acceptor.take, cameNotBefore), the next call had lost all the quiet time: seconds, and the module refused it at once. The lateness told to the graceful shutdown was as wrong.

Ruled out: the module's retry budget and its limits (the call was never sent; the refusal came within 4 ms of a deadline of 2 s). Not taken: comparing with the last task alone, as a thread put off its core between two tasks would then pass for one that slept.

Change: where timers have run and no look is known of for 4 ms, the loop brings one about (a byte on its own pipe, SocketPass), which counts as a look for Turns.

Tests: LateLoopTest.aCallLosesNoTimeToTheQuietBeforeIt (failed before: its deadline lay 1 s early, all of the quiet time); TurnsTest.afterALongTurnItIsUnseenUntilALookIsKnownOf.

--- a/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
@@ -149,6 +149,22 @@
         assertTrue("no later than its client's", deadlines.get(0) <= sentBy[0] + 20_000_000_000L);
     }
 
+    /** After a long turn all quiet time passed for lateness: the call had lost it, and was refused at once. */
+    @Test
+    public void aCallLosesNoTimeToTheQuietBeforeIt() throws Exception {
+        Socket client = connect();
+        send(client);
+        answer(client);
+        deadlines.clear();
+        whileHeldUp(400, () -> { });
+        Thread.sleep(500);
+        long quiet = loop.now(); // the loop has looked at its sockets since the hold, and found nothing
+        Thread.sleep(500);
+        send(client);
+        answer(client);
+        assertTrue("not before " + quiet + ": " + deadlines, deadlines.get(0) >= quiet + 20_000_000_000L);
+    }
+
     /** The long one was read until it ran dry, however long that was, and before some of the others by chance. */
     @Test
     public void shortCallsDoNotWaitForALongBody() throws Exception {
--- a/engine/src/main/java/trailthread/engine/loop/Loop.java
+++ b/engine/src/main/java/trailthread/engine/loop/Loop.java
@@ -115,6 +115,9 @@
             }
         }
         wakeAt(wheel.nextAt());
+        if (turns.unseenNs(System.nanoTime()) > LATE_NS) {
+            afterSockets(() -> { }); // a look that is known of: without one, the quiet time to come would pass for lateness
+        }
     }
 
     /**
@@ -137,7 +140,7 @@
     /** Runs a task once every socket that is ready by now has been served. */
     public void afterSockets(Runnable task) {
         if (sockets == null) {
-            sockets = new SocketPass(thread, this::runSafely);
+            sockets = new SocketPass(thread, this::servesSocket, this::runSafely);
         }
         sockets.after(task);
     }
--- a/engine/src/main/java/trailthread/engine/loop/SocketPass.java
+++ b/engine/src/main/java/trailthread/engine/loop/SocketPass.java
@@ -24,9 +24,10 @@
     private List<Runnable> waiting = new ArrayList<>();
 
     /**
+     * @param served is told of each look, while it is under way
      * @param runner runs one task; a task that throws must not take along the others, which end waits
      */
-    SocketPass(XnioIoThread thread, Consumer<Runnable> runner) {
+    SocketPass(XnioIoThread thread, Runnable served, Consumer<Runnable> runner) {
         this.thread = thread;
         this.runner = runner;
         try {
@@ -36,7 +37,10 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        source.getReadSetter().set(readable -> looked());
+        source.getReadSetter().set(readable -> {
+            served.run();
+            looked();
+        });
         source.resumeReads();
     }
 
--- a/engine/src/main/java/trailthread/engine/loop/Turns.java
+++ b/engine/src/main/java/trailthread/engine/loop/Turns.java
@@ -62,6 +62,14 @@
         running = true;
     }
 
+    /**
+     * For how long it may not have looked at its sockets, in nanoseconds. Once that is longer than the gaps between its
+     * tasks, no gap tells of a sleep any more, and it grows until a socket is served.
+     */
+    long unseenNs(long now) {
+        return serving || hasSlept(now) ? 0 : now - lookedAt;
+    }
+
     private boolean hasSlept(long now) {
         return now - ranUntil > Math.max(SLEPT_NS, ranUntil - lookedAt);
     }
--- a/engine/src/test/java/trailthread/engine/loop/TurnsTest.java
+++ b/engine/src/test/java/trailthread/engine/loop/TurnsTest.java
@@ -58,6 +58,25 @@
         assertEquals(10 * MS, turns.notBefore());
     }
 
+    /** Then no later gap is long enough to pass for a sleep: only a look ends it, which the loop has to bring about. */
+    @Test
+    public void afterALongTurnItIsUnseenUntilALookIsKnownOf() {
+        turn(10 * MS, 11 * MS);
+        assertEquals("it has slept", 0, turns.unseenNs(60 * MS));
+        turns.runs(60 * MS);
+        turns.ran(460 * MS);
+        assertEquals(400 * MS, turns.unseenNs(460 * MS));
+        for (long at = 510 * MS; at <= 2010 * MS; at += 50 * MS) {
+            turns.runs(at);
+            turns.ran(at + 1);
+        }
+        assertEquals(1950 * MS, turns.unseenNs(2010 * MS));
+        assertTrue(turns.serves(2011 * MS));
+        assertEquals("under way", 0, turns.unseenNs(2012 * MS));
+        turns.served(2012 * MS);
+        assertEquals(1 * MS, turns.unseenNs(2012 * MS));
+    }
+
     @Test
     public void aTaskThatReadsByTheWayHasLookedAtNoOtherSocket() {
         turn(10 * MS, 11 * MS);
