--- a/engine/src/main/java/trailthread/engine/loop/Loop.java
+++ b/engine/src/main/java/trailthread/engine/loop/Loop.java
@@ -116,7 +116,7 @@
         }
         wakeAt(wheel.nextAt());
         if (turns.unseenNs(System.nanoTime()) > LATE_NS) {
-            afterSockets(() -> { }); // a look that is known of: without one, the quiet time to come would pass for lateness
+            afterSockets(() -> { }); // a look that is known of: without one, the quiet to come would pass for lateness
         }
     }
 
