--- a/decisions/src/test/java/trailthread/ListCallsTest.java
+++ b/decisions/src/test/java/trailthread/ListCallsTest.java
@@ -144,8 +144,8 @@
     }
 
     /**
-     * Most of a fleet is killed and starts again at once. All called in the same moment: discovery served some,
-     * and went on with the rest, in vain, when these had waited for too long.
+     * Most of a fleet is killed and starts again at once. All called in the same moment: discovery served
+     * some, and went on with the rest, in vain, when these had waited for too long.
      */
     @Test
     public void nodesThatStartTogetherKnowTheListInTime() {
