Keep whole calls sent ahead behind GET /ready or a call without a route

Cause: Acceptor.handle (ready) and reject (no route) ended the connection with their answer where answers are to end theirs (shutdown, drain, many idle clients), and did not look for calls that had come whole behind. LeavingClientTest.theLastAnswerIsTheLastCallsBehindWhatIsNoCall sends both with a call behind: without the change the first answer says Connection: close, and the call has none.

Change: one question (SentAhead.isBehind) for every answer that may be the last. What is no HTTP call, or too large, ends its connection as before: what follows it can't be trusted.

--- a/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/Acceptor.java
@@ -174,8 +174,7 @@
         long owedBy = track(exchange);
         if (exchange.getRequestURI().equals(front.readyPath())) {
             exchange.setStatusCode(isReady() ? 200 : 503);
-            exchange.setPersistent(exchange.isPersistent()
-                    && !connections.endsWithAnswer(ClientConnection.of(exchange)));
+            exchange.setPersistent(exchange.isPersistent() && !isLast(exchange));
             return;
         }
         Front readBy = front;
@@ -238,6 +237,11 @@
         }
     }
 
+    /** Whether the connection ends with this answer. */
+    private boolean isLast(HttpServerExchange exchange) {
+        return connections.endsWithAnswer(ClientConnection.of(exchange)) && !SentAhead.isBehind(exchange);
+    }
+
     /** How many bytes are kept for a body that is still to come; -1: there is no room for it. */
     private static long keptFor(HttpServerExchange exchange, Front.Taker taker) {
         long length = exchange.getRequestContentLength();
@@ -282,7 +286,7 @@
             case NO_ROUTE -> StatusCodes.NOT_FOUND;
         };
         exchange.setStatusCode(status);
-        if (why != Rejection.NO_ROUTE || connections.endsWithAnswer(ClientConnection.of(exchange))) {
+        if (why != Rejection.NO_ROUTE || isLast(exchange)) {
             exchange.setPersistent(false);
         }
         exchange.endExchange();
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -117,8 +117,7 @@
             exchange.setPersistent(false);
         }
         exchange.setStatusCode(status);
-        // Guards calls that have come whole behind this one: with their connection, they would be lost.
-        if (closing.getAsBoolean() && !hasSentAhead()) {
+        if (closing.getAsBoolean() && !SentAhead.isBehind(exchange)) {
             exchange.setPersistent(false);
         }
     }
@@ -219,11 +218,4 @@
         }
         kept.getBuffer().compact().put(bytes).flip();
     }
-
-    /** Whether the client has sent more than this call, and waits for what comes of that, too. */
-    private boolean hasSentAhead() {
-        PooledByteBuffer kept = exchange.getConnection() instanceof AbstractServerConnection connection
-                ? connection.getExtraBytes() : null;
-        return kept != null && kept.getBuffer().hasRemaining();
-    }
 }
--- a/daemon/src/main/java/trailthread/daemon/acceptor/SentAhead.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/SentAhead.java
@@ -1,6 +1,8 @@
 package trailthread.daemon.acceptor;
 
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
 import java.nio.ByteBuffer;
 
 /**
@@ -19,6 +21,16 @@
         this.bytes = bytes;
     }
 
+    /**
+     * Whether the client has sent more than this request, and waits for what comes of that, too. Guards calls that have
+     * come whole behind it: ended with its answer, the connection would lose them.
+     */
+    static boolean isBehind(HttpServerExchange exchange) {
+        PooledByteBuffer kept = exchange.getConnection() instanceof AbstractServerConnection connection
+                ? connection.getExtraBytes() : null;
+        return kept != null && kept.getBuffer().hasRemaining();
+    }
+
     /** Twice the room for what is kept, which moves; null, and all stays, if there is none. */
     static SentAhead twice(PooledByteBuffer kept, BodyRoom room) {
         int capacity = 2 * kept.getBuffer().capacity();
--- a/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LeavingClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNull;
 
+import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -25,6 +26,7 @@
 import trailthread.engine.loop.Account;
 import trailthread.engine.loop.Loop;
 import trailthread.engine.meter.Meter;
+import trailthread.engine.meter.Rejection;
 import trailthread.engine.discovery.DiscoveryEntry;
 import trailthread.engine.discovery.DiscoveryUpdate;
 import trailthread.engine.worker.ConnectionRoom;
@@ -38,6 +40,7 @@
     private static final long LONG_NS = 20_000_000_000L;
     private final Loop loop;
     private final Peer worker;
+    private final Settings settings = new Settings();
     private Calls calls;
     private Workers workers;
     private Acceptor acceptor;
@@ -50,7 +53,6 @@
 
     @Before
     public void listen() throws Exception {
-        Settings settings = new Settings();
         settings.classes.add(new RequestClass("use", LONG_NS, 0, LONG_NS, Semantics.UNSAFE, Group.ALL, 0, 1, 0));
         workers = new Workers(loop, LONG_NS, LONG_NS, 0, ConnectionRoom.of(8), 0, Account.NONE);
         calls = new Calls(loop, workers, settings, 1, Meter.OFF);
@@ -283,4 +285,34 @@
             assertNull(Message.read(client));
         }
     }
+
+    /** What is no call is answered at once, and its answer ended the connection, whole calls behind it or not. */
+    @Test
+    public void theLastAnswerIsTheLastCallsBehindWhatIsNoCall() throws Exception {
+        Front calls = new PlatformFront(settings.classes, this.calls);
+        acceptor.setFront(new Front() {
+            @Override
+            public String readyPath() {
+                return calls.readyPath();
+            }
+
+            @Override
+            public Incoming read(HttpServerExchange exchange) {
+                return exchange.getRequestURI().equals("/nowhere") ? Incoming.none(Rejection.NO_ROUTE)
+                        : calls.read(exchange);
+            }
+        });
+        loop.execute(() -> acceptor.endWithAnswers(true));
+        loop.execute(this::list);
+        for (String path : new String[] {"/ready", "/nowhere"}) {
+            try (Socket client = connect()) {
+                String noCall = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+                Message.send(client, noCall + Stage.request("use", "", "") + noCall);
+                assertNull(Message.read(client).header("Connection"));
+                assertEquals("made", Message.read(client).body());
+                assertEquals("close", Message.read(client).header("Connection"));
+                assertNull(Message.read(client));
+            }
+        }
+    }
 }
