Bound the spread of a start's first list call by when news is due

Cause: DiscoverySideTest.aMoveDuringThePauseAfterAFailureIsAskedAtOnce failed in a run of all tests ("nothing logged with 'answers 503'"): its asking period is an hour, and since a start's first call comes within nodes / 400 of the period, 9 s there, and a quarter of an hour with a hundred nodes.

Change: at most 4.4 s, as for repeats. With a period of 10 s and up to 176 nodes nothing changes.

Tests: that one, and ListCallsTest.aStartAsksBeforeNewsIsDueHoweverLongThePeriodIs (failed before).

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -951,7 +951,7 @@
         watching = kind != ListKind.CACHED;
         failedCalls = watching ? 0 : failedCalls;
         if (settings.listOnRequest && !watching) {
-            askAgainIn(random.nextDouble() * spread);
+            askAgainIn(random.nextDouble() * Math.min(spread, ASK_SOON_NS));
         }
         if (!polling && settings.mayProbe && settings.reports == Reports.PROBES) {
             polling = true;
--- a/decisions/src/test/java/trailthread/ListCallsTest.java
+++ b/decisions/src/test/java/trailthread/ListCallsTest.java
@@ -158,6 +158,21 @@
         }
     }
 
+    /** With an asking period of an hour, a hundred nodes had a quarter of one for their first calls. */
+    @Test
+    public void aStartAsksBeforeNewsIsDueHoweverLongThePeriodIs() {
+        Settings settings = Script.settings();
+        settings.nodes = 100;
+        settings.listOnRequest = true;
+        settings.askEveryNs = 3_600_000 * MS;
+        for (int seed = 0; seed < 100; seed++) {
+            Script s = new Script(settings, seed);
+            s.balancer.list(s.now, ListKind.CACHED, List.of(Script.ready("a")));
+            s.pass(NEWS_DUE_MS * MS);
+            assertTrue("seed " + seed, s.watches > 0);
+        }
+    }
+
     /** A node alone would call an address that answers nobody some twenty times a second. */
     @Test
     public void aNodeAloneDoesNotCallAllTheTime() {
