Count when news is due from when the last sign of life came, not from its reading

Cause, in the program: Discovery.Exchange.body told the listener of an object and only then noted livedAt = loop.now(). What lies between the coming of a sign of life and that note is the node's own lateness: changes made meanwhile are not in what was read, yet counted as due 6 s after the note.

Ruled out: a second line that came late (the peer says one line a watch), and the other bound (cameNotBefore) that told's time is the lesser of.

Change: livedAt is the earliest that what is read may have come (Loop.cameNotBefore), as for news itself. New test: newsIsDueSinceTheLastSignOfLifeCameNotSinceItWasRead, whose last sign of life lies unread for 300 ms; seen to fail without the change. The older test is as it was, its body shared.

--- a/daemon/src/test/java/trailthread/daemon/NewsDueTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NewsDueTest.java
@@ -67,6 +67,12 @@
     public void whatLayUnreadInALateLoopIsKnownSinceItCame() throws Exception {
         Message watch = peer.asked();
         known();
+        long cameBy = liesUnread(watch, Stage.list(2, true, "leaving"));
+        assertTrue("known since it came", known() <= cameBy);
+    }
+
+    /** Sends a line that lies unread, as the loop is late; returns when it had come by. */
+    private long liesUnread(Message watch, String line) throws Exception {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch goOn = new CountDownLatch(1);
         loop.execute(() -> {
@@ -74,17 +80,28 @@
             Peer.await(goOn);
         });
         Peer.await(held);
-        Stage.line(watch, Stage.list(2, true, "leaving"));
+        Stage.line(watch, line);
         final long cameBy = loop.now();
         Thread.sleep(300);
         goOn.countDown();
-        assertTrue("known since it came", known() <= cameBy);
+        return cameBy;
     }
 
     @Test
     public void newsThatWasDueWhileNobodyWatchedIsKnownSinceThen() throws Exception {
         known();
-        final long silentSince = loop.now();
+        newsIsDueAfterSilenceSince(loop.now());
+    }
+
+    /** What has changed since a late loop's last sign of life came, and before it was read, is not in it. */
+    @Test
+    public void newsIsDueSinceTheLastSignOfLifeCameNotSinceItWasRead() throws Exception {
+        Message watch = peer.asked();
+        known();
+        newsIsDueAfterSilenceSince(liesUnread(watch, ""));
+    }
+
+    private void newsIsDueAfterSilenceSince(long silentSince) throws InterruptedException {
         assertNotNull("silence is noticed", failures.poll(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
         long passedMs = (loop.now() - silentSince) / MS;
         Thread.sleep(Math.max(0, NEWS_DUE_MS + 1_000 - passedMs));
--- a/engine/src/main/java/trailthread/engine/discovery/Discovery.java
+++ b/engine/src/main/java/trailthread/engine/discovery/Discovery.java
@@ -47,7 +47,7 @@
     private final Set<Exchange> open = new HashSet<>();
     private boolean failing;
     private boolean closed;
-    /** When a watch gave its last sign of life: up to then, all that had changed has been told. */
+    /** When a watch's last sign of life had come at the earliest: up to then, all that had changed has been told. */
     private long livedAt;
 
     public Discovery(Loop loop, InetSocketAddress address, DiscoveryListener listener) {
@@ -176,7 +176,7 @@
                     take(object);
                 }
                 if (!over && objects.lives()) {
-                    livedAt = loop.now();
+                    livedAt = loop.cameNotBefore(); // it may have lain unread: what changed meanwhile is not in it
                     expectWithin(LINE_WITHIN_NS);
                 }
             } catch (IOException e) {
