Read the client's socket before an answer says that it is the connection's last

Cause, by reading: HttpReply.head and Acceptor.isLast asked SentAhead.isBehind, which looked at what had been read ahead, not at the socket. On a loop that runs late, whole calls that clients had sent ahead lay unread there; the answer said Connection: close, and Undertow's drain after it read and dropped them.

Ruled out: that reading takes a call's own body (only once the request is complete); that a client's end found so takes the answer with it (the end is left to the next reading).

Change: one owner of reading ahead, SentAhead.read; HttpReply's watch of its client uses it, and isBehind reads the socket first. Test on sockets: a call sent while the loop is held up, the answer before it given in the same turn; seen to fail without the change ("there is another").

--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -1,6 +1,5 @@
 package trailthread.daemon.acceptor;
 
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
@@ -117,7 +116,7 @@
             exchange.setPersistent(false);
         }
         exchange.setStatusCode(status);
-        if (closing.getAsBoolean() && !SentAhead.isBehind(exchange)) {
+        if (exchange.isPersistent() && closing.getAsBoolean() && !SentAhead.isBehind(exchange, room)) {
             exchange.setPersistent(false);
         }
     }
@@ -161,27 +160,13 @@
 
     /** Reads on while a call is at work; what finds no room stays in the socket, and hides that its client has left. */
     private void readAhead(AbstractServerConnection connection) {
-        int count = 0;
-        try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
-            ByteBuffer bytes = pooled.getBuffer();
-            int most = Loop.MOST_IN_TURN_BYTES;
-            do {
-                int free = freeAhead(connection);
-                if (free == 0) {
-                    connection.getOriginalSourceConduit().suspendReads();
-                    return;
-                }
-                bytes.clear().limit(Math.min(bytes.capacity(), free));
-                count = connection.getOriginalSourceConduit().read(bytes);
-                if (count > 0) {
-                    keepAhead(connection, bytes.flip());
-                }
-                most -= count;
-            } while (count > 0 && most > 0);
+        boolean open;
+        try {
+            open = SentAhead.read(connection, room);
         } catch (IOException e) {
-            count = -1; // as good as closed
+            open = false; // as good as closed
         }
-        if (count < 0) {
+        if (!open) {
             connection.getOriginalSourceConduit().suspendReads();
             if (!answered) {
                 answered = true;
@@ -192,30 +177,4 @@
             IoUtils.safeClose(connection);
         }
     }
-
-    /** How much more may be kept of what is sent ahead. */
-    private int freeAhead(AbstractServerConnection connection) {
-        PooledByteBuffer kept = connection.getExtraBytes();
-        if (kept == null) {
-            return Integer.MAX_VALUE; // a buffer of the pool, which holds as much as is read in one go
-        }
-        int free = kept.getBuffer().capacity() - kept.getBuffer().remaining();
-        SentAhead larger = free > 0 ? null : SentAhead.twice(kept, room);
-        if (larger == null) {
-            return free;
-        }
-        connection.setExtraBytes(larger);
-        return larger.getBuffer().capacity() - larger.getBuffer().remaining();
-    }
-
-    /** Behind what came so before: Undertow has some if it came along with the call. */
-    private static void keepAhead(AbstractServerConnection connection, ByteBuffer bytes) {
-        PooledByteBuffer kept = connection.getExtraBytes();
-        if (kept == null) {
-            kept = connection.getByteBufferPool().allocate();
-            kept.getBuffer().limit(0);
-            connection.setExtraBytes(kept);
-        }
-        kept.getBuffer().compact().put(bytes).flip();
-    }
 }
--- a/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/acceptor/LateLoopTest.java
@@ -38,6 +38,9 @@
  */
 public class LateLoopTest {
     private static final int MOST = 28;
+    private static final RequestClass USE = new RequestClass("use", 10_000_000_000L, 0, 20_000_000_000L,
+            Semantics.UNSAFE, Group.ALL, 0, 1, 0);
+    private static final Made MADE = Made.of("made".getBytes(StandardCharsets.US_ASCII));
     private static final long IDLE_LONG_ENOUGH_MS = 2_300;
     private final Loop loop;
     private final List<Socket> clients = new ArrayList<>();
@@ -54,14 +57,12 @@
 
     @Before
     public void listen() throws Exception {
-        RequestClass use = new RequestClass("use", 10_000_000_000L, 0, 20_000_000_000L, Semantics.UNSAFE,
-                Group.ALL, 0, 1, 0);
-        acceptor = new Acceptor(loop, MOST, MOST, new PlatformFront(List.of(use), new CallTaker() {
+        acceptor = new Acceptor(loop, MOST, MOST, new PlatformFront(List.of(USE), new CallTaker() {
             @Override
             public Runnable take(ClientCall call, long deadline, Reply reply) {
                 taken.add(call.body().length);
                 deadlines.add(deadline);
-                reply.served(Made.of("made".getBytes(StandardCharsets.US_ASCII)));
+                reply.served(MADE);
                 return () -> { };
             }
 
@@ -133,6 +134,36 @@
         void run() throws Exception;
     }
 
+    /** It was dropped with the connection, which ended with the answer before. */
+    @Test
+    public void aCallThatLiesUnreadBehindTheLastAnswerIsAnswered() throws Exception {
+        CompletableFuture<Reply> first = new CompletableFuture<>();
+        acceptor.setFront(new PlatformFront(List.of(USE), new CallTaker() {
+            @Override
+            public Runnable take(ClientCall call, long deadline, Reply reply) {
+                if (!first.complete(reply)) {
+                    reply.served(MADE);
+                }
+                return () -> { };
+            }
+
+            @Override
+            public boolean isOpen(String id) {
+                return false;
+            }
+        }));
+        loop.execute(() -> acceptor.endWithAnswers(true));
+        Socket client = connect();
+        send(client);
+        Reply reply = first.get(30, TimeUnit.SECONDS);
+        whileHeldUp(0, () -> {
+            loop.execute(() -> reply.served(MADE)); // before the sockets are looked at
+            send(client);
+        });
+        assertFalse("there is another", answer(client).contains("Connection: close\r\n"));
+        assertTrue("that was the last", answer(client).contains("Connection: close\r\n"));
+    }
+
     /** Its time began when the node came to read it: the client had long given up when its answer came. */
     @Test
     public void aCallsTimeBeginsWhenItMayHaveComeNotWhenItIsRead() throws Exception {
