Test that idle clients that fill the descriptors leave discovery and calls their room

Discovery is down, 384 idle clients connect to a node of 128 descriptors: a call is served, discovery is heard once it is back, calls go where it says, and the node holds no more than its 128. No change of the program.

--- a/daemon/src/test/java/trailthread/daemon/CrowdTest.java
+++ b/daemon/src/test/java/trailthread/daemon/CrowdTest.java
@@ -98,6 +98,31 @@
         }
     }
 
+    /** Idle clients take what they may hold, and more wait: what the node itself needs is not among it. */
+    @Test
+    public void whereIdleClientsFillTheDescriptorsDiscoveryIsHeardAndCallsAreServed() throws Exception {
+        stage.sockets = 128;
+        stage.discovery.setScript(request -> request.answer("503 Busy", "", ""));
+        stage.start(Stage.SETTINGS, stage.add(Peer.serving("before")));
+        stage.logged("discovery answers 503");
+        for (int i = 0; i < 3 * stage.sockets; i++) {
+            stage.connect();
+        }
+        assertEquals("before", stage.call("state").body());
+        assertTrue(stage.descriptors() + " held", stage.descriptors() <= stage.sockets);
+        Peer after = stage.add(Peer.serving("after"));
+        stage.discovery.setScript(request -> {
+            Stage.watch(request);
+            Stage.line(request, Stage.list(2, true, "active", after));
+        });
+        stage.logged("discovery is back, at generation 2");
+        for (int i = 0; i < stage.sockets; i++) {
+            stage.connect();
+        }
+        assertEquals("after", stage.call("state").body());
+        assertTrue(stage.descriptors() + " held", stage.descriptors() <= stage.sockets);
+    }
+
     @Test
     public void everyClientOfACrowdHasAWholeAnswer() throws Exception {
         stage.sockets = 382; // 200 connections to clients
