Tell the module of a watch that lives though nothing has changed

Cause, by reading (found while the end of calls in vain was looked at): Discovery told the module of objects only. A watch that opens with empty lines, as nothing has changed since the version held, left Balancer.watching false and askedAt at the first call: the module went on asking every quarter of a period, and when that watch ended after some time took it for a call that had waited in vain, with the longer pause of one.

Change: the first sign of life of a watch that has told nothing is told as no change. Test: NewsDueTest.aWatchThatLivesTellsThatNothingHasChanged, seen to fail without ("a list was to come", after 30 s).

--- a/daemon/src/test/java/trailthread/daemon/NewsDueTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NewsDueTest.java
@@ -1,10 +1,12 @@
 package trailthread.daemon;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -27,6 +29,7 @@
     private final Loop loop;
     private final Discovery discovery;
     private final BlockingQueue<Long> knownSince = new LinkedBlockingQueue<>();
+    private final BlockingQueue<DiscoveryUpdate> updates = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> failures = new LinkedBlockingQueue<>();
 
     public NewsDueTest() throws Exception {
@@ -41,6 +44,7 @@
                     @Override
                     public void told(DiscoveryUpdate update, long since) {
                         knownSince.add(since);
+                        updates.add(update);
                     }
 
                     @Override
@@ -101,6 +105,23 @@
         newsIsDueAfterSilenceSince(liesUnread(watch, ""));
     }
 
+    /** Where nothing had changed the module went on asking, and took the watch's end for a call in vain. */
+    @Test
+    public void aWatchThatLivesTellsThatNothingHasChanged() throws Exception {
+        Message watch = peer.asked();
+        known();
+        peer.setScript(request -> {
+            Stage.watch(request);
+            Stage.line(request, "");
+        });
+        watch.connection().close();
+        assertNotNull("its end is noticed", failures.poll(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
+        loop.execute(() -> discovery.watch(true));
+        known();
+        updates.remove();
+        assertEquals(new DiscoveryUpdate(1, false, List.of()), updates.remove());
+    }
+
     private void newsIsDueAfterSilenceSince(long silentSince) throws InterruptedException {
         assertNotNull("silence is noticed", failures.poll(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS));
         long passedMs = (loop.now() - silentSince) / MS;
--- a/engine/src/main/java/trailthread/engine/discovery/Discovery.java
+++ b/engine/src/main/java/trailthread/engine/discovery/Discovery.java
@@ -137,6 +137,8 @@
         private HttpConnection connection;
         private XnioExecutor.Key silence;
         private boolean over;
+        /** It has brought a list, what changed, or by a sign of life that nothing has. */
+        private boolean heard;
 
         Exchange(boolean watches, String target) {
             this.watches = watches;
@@ -176,6 +178,9 @@
                     take(object);
                 }
                 if (!over && objects.lives()) {
+                    if (watches && !heard) {
+                        tell(new DiscoveryUpdate(generation, false, List.of()));
+                    }
                     livedAt = loop.cameNotBefore(); // it may have lain unread: what changed meanwhile is not in it
                     expectWithin(LINE_WITHIN_NS);
                 }
@@ -198,7 +203,11 @@
             if (over) {
                 return;
             }
-            DiscoveryUpdate update = DiscoveryParser.parse(object);
+            tell(DiscoveryParser.parse(object));
+        }
+
+        private void tell(DiscoveryUpdate update) {
+            heard = true;
             generation = update.generation();
             if (failing) {
                 LOG.info("discovery is back, at generation {}", generation);
