Keep the pace of list calls from call to call, so that all nodes know in time

Cause, by the logs of a trial: the nodes without a list when its news was due (17.6 s) were not those that had started but those that had lived on. n48: "list call failed" at 7.16 s, waited in vain as discovery hung before its return; vain again in the crowd of 9 to 10.7 s; the next at 18.07. Balancer.list repeated a first call in vain after 1.4 to 4.1 s, sooner than the pace of the rest, and the second after 2.7 to 8.2 s. 109 calls in 4.4 s are 25 a second, and discovery takes 17; starts asked at 28 a second.

Measured before the change in a model of it (eight fleets, 109 nodes, 58 ms, waits of 1.5 s, 76 killed 3.7 s after the return): 74% know when news is due, 71% where calls hang before the return. Pace of 5 s (with a fifth of jitter: 6 s, when news is due), starts within 4.4 s of their first event (1.6 s after their process's): 99%, and 88% where calls hang; with the first call in vain counted from its start, too: 99% and 99%. Weighed in the model and not taken: 5.5 and 5.8 s (some of 120 past 6 s), 3.7 s, slower growth of the pause after calls in vain (no difference).

Tests: ListCallsTest.whereMostAreKilledOnceDiscoveryIsBackAllKnowInTime, seen to fail before (642 of 872) and without the last part (764). The others of ListCallsTest and LotteryTest unchanged.

--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -91,8 +91,10 @@
     private static final double ASK_AGAIN = 1.0 / 4;
     /** So many calls a period all nodes begin with; in vain, half as many each time, to one in two. */
     private static final double FIRST_CALLS = 400, LAST_ASK_AGAIN = 2;
-    /** What fails sooner did not wait, and is repeated so soon: news is due 6 s after it could be had. */
-    private static final double WAITED_NS = 1.2e9, LEAST_SOON_NS = 1e9, ASK_SOON_NS = 4.4e9;
+    /** What fails sooner did not wait, and is repeated so soon; with jitter in 6 s, when news is due. */
+    private static final double WAITED_NS = 1.2e9, LEAST_SOON_NS = 1e9, ASK_SOON_NS = 5e9;
+    /** First calls, of a start or after a broken watch, are spread over this: some of the 6 s are over. */
+    private static final double ASK_FIRST_NS = 4.4e9;
 
     /** Kinds of timer, in the low bits of a token; the rest is the request's id. */
     private static final int TIMER_DEADLINE = 0, TIMER_ASK = 1, TIMER_RELEASE = 2, TIMER_POLL = 3;
@@ -922,15 +924,18 @@
     public void list(long now, ListKind kind, List<Entry> entries) {
         // Danger: a fleet that calls in step keeps the list from most of its nodes: waits in vain cost, too.
         double period = settings.askEveryNs, spread = settings.nodes / FIRST_CALLS * period;
-        boolean waited = askedAt < now - WAITED_NS;
+        double waited = askedAt == Long.MAX_VALUE ? 0 : now - askedAt;
         askedAt = Long.MAX_VALUE;
         if (kind == ListKind.FAILED) {
             double slower = Math.min(LAST_ASK_AGAIN * period, spread * (1 << Math.min(failedCalls, 16)));
-            // At a fixed pace: whenever discovery comes back, the calls of all nodes come evenly over it.
-            double soon = Math.min(Math.max(4 * spread, LEAST_SOON_NS), ASK_SOON_NS);
-            double share = waited ? 0.5 + random.nextDouble() : watching ? random.nextDouble() : 1;
-            askAgainIn(share * (waited ? slower : soon));
-            failedCalls += waited ? 1 : 0;
+            // At a fixed pace from call to call, the first in vain too: whenever discovery comes back, all
+            // nodes' calls come evenly over it.
+            double most = watching ? ASK_FIRST_NS : ASK_SOON_NS;
+            double soon = Math.min(Math.max(4 * spread, LEAST_SOON_NS), most);
+            boolean inVain = waited > WAITED_NS, slows = inVain && failedCalls > 0;
+            double share = slows ? 0.5 + random.nextDouble() : watching ? random.nextDouble() : 1;
+            askAgainIn(slows ? share * slower : Math.max(0, share * soon - waited));
+            failedCalls += inVain ? 1 : 0;
             watching = false;
             if (due(Note.LIST_FAILED, now)) {
                 actions.log("list call failed: going on with the last list of " + listed.size());
@@ -944,14 +949,15 @@
         for (Entry e : entries) {
             apply(e, now);
         }
-        dropGone();
+        listed.removeIf(b -> b.state == State.GONE && known.remove(b.name, b));
         choosePart(now);
         tickets = Arrays.copyOf(tickets, Math.max(tickets.length, listed.size()));
         predicted = Arrays.copyOf(predicted, tickets.length);
         watching = kind != ListKind.CACHED;
         failedCalls = watching ? 0 : failedCalls;
         if (settings.listOnRequest && !watching) {
-            askAgainIn(random.nextDouble() * Math.min(spread, ASK_SOON_NS));
+            double others = 4 * (spread - spread / settings.nodes); // a node alone need not wait
+            askAgainIn(random.nextDouble() * Math.min(others, ASK_FIRST_NS) / (1 + JITTER));
         }
         if (!polling && settings.mayProbe && settings.reports == Reports.PROBES) {
             polling = true;
@@ -1019,10 +1025,6 @@
         b.apply(e);
     }
 
-    private void dropGone() {
-        listed.removeIf(b -> b.state == State.GONE && known.remove(b.name, b));
-    }
-
     /** Probes the next warm backend in turn. */
     private void poll(long now) {
         if (!listed.isEmpty()) {
--- a/decisions/src/test/java/trailthread/ListCallsTest.java
+++ b/decisions/src/test/java/trailthread/ListCallsTest.java
@@ -21,6 +21,8 @@
     /** What has waited so long fails. */
     private static final long WAITS_MS = 2_000;
     private static final int TICK_MS = 10;
+    /** From a process's start to its first event. */
+    private static final int STARTS_MS = 1_400;
 
     /** Nodes whose watches have just broken. */
     private static List<Script> fleet(int count) {
@@ -33,18 +35,23 @@
     private static List<Script> fleet(int count, ListKind first) {
         List<Script> nodes = new ArrayList<>();
         for (int me = 0; me < count; me++) {
-            Settings settings = Script.settings();
-            settings.nodes = count;
-            settings.me = me;
-            settings.listOnRequest = true;
-            settings.askEveryNs = PERIOD_S * 1000 * MS;
-            Script s = new Script(settings, me);
-            s.balancer.list(s.now, first, List.of(Script.ready("a")));
-            nodes.add(s);
+            nodes.add(node(me, me, count, first, 0));
         }
         return nodes;
     }
 
+    private static Script node(int me, int seed, int count, ListKind first, int startsMs) {
+        Settings settings = Script.settings();
+        settings.nodes = count;
+        settings.me = me;
+        settings.listOnRequest = true;
+        settings.askEveryNs = PERIOD_S * 1000 * MS;
+        Script s = new Script(settings, seed);
+        s.now += startsMs * MS;
+        s.balancer.list(s.now, first, List.of(Script.ready("a")));
+        return s;
+    }
+
     /** In each second of a minute: a fleet's calls once its watches have broken, which all wait in vain. */
     private static int[] callsThatWaitInVain(int count, long waitsMs) {
         int[] calls = new int[60];
@@ -88,13 +95,36 @@
      * @param handleMs it takes so long for a call, also for one that has waited in vain if that is said
      */
     private static int[] knownAfter(List<Script> nodes, int downMs, double handleMs, boolean alsoInVain) {
+        return knownAfter(nodes, downMs, handleMs, WAITS_MS, alsoInVain, 0, 0, 0);
+    }
+
+    /**
+     * The same where some of the nodes are killed and start again.
+     *
+     * @param waitsMs  a call that waits for longer fails
+     * @param hangsMs  so long before discovery can be reached, calls wait in vain as well
+     * @param killed   how many, the first ones
+     * @param killedMs when, from the moment at which discovery can be reached
+     */
+    private static int[] knownAfter(List<Script> nodes, int downMs, double handleMs, long waitsMs,
+                                    boolean alsoInVain, int hangsMs, int killed, int killedMs) {
         int count = nodes.size();
         int[] known = new int[count];
         int[] endsAt = new int[count];
         boolean[] fails = new boolean[count];
         double free = downMs;
         for (int at = 0, left = count; left > 0 && at < downMs + 120_000; at += TICK_MS) {
+            int killedFor = at - downMs - killedMs;
             for (int i = 0; i < count; i++) {
+                if (i < killed && killedFor >= 0 && killedFor < STARTS_MS) {
+                    left += known[i] > 0 ? 1 : 0;
+                    known[i] = 0;
+                    endsAt[i] = 0;
+                    continue;
+                }
+                if (i < killed && killedFor == STARTS_MS) {
+                    nodes.set(i, node(i, count + i, count, ListKind.CACHED, at));
+                }
                 Script s = nodes.get(i);
                 if (known[i] > 0) {
                     continue;
@@ -112,9 +142,11 @@
                 s.pass(TICK_MS * MS);
                 if (s.watches > before && endsAt[i] == 0) {
                     double waits = Math.max(0, free - at);
-                    fails[i] = at < downMs || waits > WAITS_MS;
+                    fails[i] = at < downMs || waits > waitsMs;
                     boolean down = at < downMs;
-                    endsAt[i] = at + TICK_MS + (down ? 0 : (int) Math.min(WAITS_MS, waits + handleMs));
+                    double waitedFor = !down ? Math.min(waitsMs, waits + handleMs)
+                            : at >= downMs - hangsMs ? waitsMs : 0;
+                    endsAt[i] = at + TICK_MS + (int) waitedFor;
                     free = down || fails[i] && !alsoInVain ? free : Math.max(free, at) + handleMs;
                 }
             }
@@ -158,6 +190,30 @@
         }
     }
 
+    /**
+     * Discovery comes back, and soon after that most nodes are killed. The calls of those that started met
+     * those that had waited in vain: a third of the fleet had no list when it was due.
+     */
+    @Test
+    public void whereMostAreKilledOnceDiscoveryIsBackAllKnowInTime() {
+        int count = 109;
+        int killedMs = 3_700;
+        int fleets = 8;
+        for (int hangsMs : new int[] {0, 2_500}) {
+            long inTime = 0;
+            for (int i = 0; i < fleets; i++) {
+                List<Script> nodes = new ArrayList<>();
+                for (int me = 0; me < count; me++) {
+                    nodes.add(node(me, 1_000 * i + me, count, ListKind.FULL, 0));
+                }
+                nodes.forEach(s -> s.balancer.list(s.now, ListKind.FAILED, List.of()));
+                int[] known = knownAfter(nodes, 8_000, 58, 1_500, true, hangsMs, 76, killedMs);
+                inTime += IntStream.of(known).filter(ms -> ms <= killedMs + NEWS_DUE_MS).count();
+            }
+            assertTrue(hangsMs + ": " + inTime, inTime >= 0.97 * count * fleets);
+        }
+    }
+
     /** With an asking period of an hour, a hundred nodes had a quarter of one for their first calls. */
     @Test
     public void aStartAsksBeforeNewsIsDueHoweverLongThePeriodIs() {
