--- a/daemon/src/main/java/trailthread/daemon/WarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/WarmUp.java
@@ -167,7 +167,7 @@
             return () -> { };
         }
         if (count % CALLS_A_REFUSAL == 0) {
-            reply.overload(CALL_WITHIN_NS);
+            reply.refused(CALL_WITHIN_NS);
             return () -> { };
         }
         if (attempted.add(call.id())) {
--- a/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
+++ b/daemon/src/main/java/trailthread/daemon/acceptor/HttpReply.java
@@ -21,7 +21,7 @@
 final class HttpReply implements Reply {
     /** A worker's word to the node alone. */
     private static final Set<String> LEFT_OUT = Set.of("x-backend-load", "x-unprocessed");
-    private static final int OVERLOAD = 503;
+    private static final int REFUSED = 503;
     private static final int FAILED = 502;
 
     /** A client that does not read its answer for so long loses it, and its connection. */
@@ -93,11 +93,11 @@
     }
 
     @Override
-    public void overload(long retryAfterNs) {
+    public void refused(long retryAfterNs) {
         if (retryAfterNs > 0) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Seconds.format(retryAfterNs));
         }
-        answer(OVERLOAD, new byte[0]);
+        answer(REFUSED, new byte[0]);
     }
 
     @Override
--- a/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/operator/NodeMetrics.java
@@ -177,7 +177,7 @@
     private static String wordFor(Answer answer) {
         return switch (answer) {
             case SERVED -> "answered";
-            case OVERLOAD -> "deferred";
+            case REFUSED -> "deferred";
             case FAILED -> "errored";
         };
     }
--- a/daemon/src/test/java/trailthread/daemon/LevelsTest.java
+++ b/daemon/src/test/java/trailthread/daemon/LevelsTest.java
@@ -73,7 +73,7 @@
         String metrics = metrics();
         for (String line : new String[] {"trailthread_level{trailthread_level=\"reduced\"} 1",
             "trailthread_level_changes_total{level=\"reduced\"} 1.0",
-            "trailthread_answers_total{answer=\"overload\",class=\"state\"} 3.0",
+            "trailthread_answers_total{answer=\"refused\",class=\"state\"} 3.0",
             "trailthread_answers_total{answer=\"served\",class=\"use\"} 3.0",
             "trailthread_answers_total{answer=\"failed\",class=\"use\"} 1.0",
             "trailthread_reading{reading=\"starved_ratio\"}"}) {
--- a/daemon/src/test/java/trailthread/daemon/operator/OperatorEndpointTest.java
+++ b/daemon/src/test/java/trailthread/daemon/operator/OperatorEndpointTest.java
@@ -204,7 +204,7 @@
             }
             meter.attemptSent();
             meter.answered("read", Answer.SERVED, 1, 1);
-            meter.answered("read", Answer.OVERLOAD, 1, 1);
+            meter.answered("read", Answer.REFUSED, 1, 1);
             meter.answered("read", Answer.FAILED, 1, 1);
             meter.reloaded(true);
         });
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -69,9 +69,9 @@
     private static final double JAMMED = 2.5;
     /** Its first rest, in longest deadlines: what it holds has then ended, and some idle time is left. */
     private static final double REST_DEADLINES = 1.5;
-    /** Failures in a row that eject a backend: by chance, three are rare. */
+    /** Outlier ejection: failures in a row that eject a backend; by chance, three are rare. */
     private static final int EJECT_AFTER = 3;
-    /** Longest ejection, in doublings of the tightest aim. */
+    /** Longest outlier ejection, in doublings of the tightest aim. */
     private static final int EJECT_DOUBLINGS = 5;
     /** At most this share of the list may be ejected; past it the node itself is the likelier culprit. */
     private static final double EJECT_MOST = 0.5;
@@ -649,7 +649,7 @@
                 || (b.tellsQueue ? b.smoothed : 0) + b.outstanding + b.rounding < room(b, now));
     }
 
-    /** Not ejected; after an ejection, half-open: one safe trial at a time. */
+    /** Not ejected as an outlier; after that, half-open: one safe trial at a time. */
     private boolean healthy(Backend b, Request r, long now) {
         if (b.failures < EJECT_AFTER && b.rests == 0) {
             return b.unanswered == 0 || r.c.rules.semantics() == Semantics.SAFE;
--- a/engine/src/main/java/trailthread/engine/call/Call.java
+++ b/engine/src/main/java/trailthread/engine/call/Call.java
@@ -140,12 +140,12 @@
         forgetIfDone();
     }
 
-    /** The answer, where no worker made one: an overload reply. */
+    /** The answer, where no worker made one: a refusal. */
     void refuse(long retryAfterNs) {
         if (!finished) {
             finish();
-            answered(Answer.OVERLOAD);
-            reply.overload(retryAfterNs);
+            answered(Answer.REFUSED);
+            reply.refused(retryAfterNs);
             forgetIfDone();
         }
     }
--- a/engine/src/main/java/trailthread/engine/call/Reply.java
+++ b/engine/src/main/java/trailthread/engine/call/Reply.java
@@ -29,8 +29,8 @@
     default void released() {
     }
 
-    /** An overload reply: trying again is harmless; 0: no advice on when. */
-    void overload(long retryAfterNs);
+    /** A refusal: trying again is harmless; 0: no advice on when. */
+    void refused(long retryAfterNs);
 
     /** The call failed; it may have had its effect. */
     void failed();
--- a/engine/src/main/java/trailthread/engine/meter/Answer.java
+++ b/engine/src/main/java/trailthread/engine/meter/Answer.java
@@ -4,8 +4,8 @@
 public enum Answer {
     /** With what a worker made. */
     SERVED,
-    /** With an overload reply. */
-    OVERLOAD,
+    /** With a refusal: trying again is harmless. */
+    REFUSED,
     /** With a failure. */
     FAILED
 }
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -284,9 +284,9 @@
         }
 
         @Override
-        public void overload(long retryAfterNs) {
+        public void refused(long retryAfterNs) {
             give();
-            reply.overload(retryAfterNs);
+            reply.refused(retryAfterNs);
         }
 
         @Override
--- a/engine/src/main/java/trailthread/engine/service/Starved.java
+++ b/engine/src/main/java/trailthread/engine/service/Starved.java
@@ -31,7 +31,7 @@
         }
     }
 
-    /** A call is shed; its overload reply follows. */
+    /** A call is shed; its refusal follows. */
     void shed(String requestClass) {
         shed.merge(requestClass, 1, Integer::sum);
     }
@@ -42,7 +42,7 @@
      * @param waitedNs from its coming to its first attempt; -1: there was none
      */
     void answered(String requestClass, Answer answer, long waitedNs, long now) {
-        if (answer == Answer.OVERLOAD && waitedNs < 0 && shed.getOrDefault(requestClass, 0) > 0) {
+        if (answer == Answer.REFUSED && waitedNs < 0 && shed.getOrDefault(requestClass, 0) > 0) {
             shed.merge(requestClass, -1, Integer::sum);
         } else if (mostWaitNs.containsKey(requestClass)) {
             lately.count(now, answer != Answer.SERVED || waitedNs > mostWaitNs.get(requestClass));
--- a/engine/src/test/java/trailthread/engine/service/ReadingsTest.java
+++ b/engine/src/test/java/trailthread/engine/service/ReadingsTest.java
@@ -94,10 +94,10 @@
         starved.answered("other", Answer.FAILED, 0, 0);
         starved.answered("use", Answer.SERVED, 10 * MS, 0);
         starved.shed("use");
-        starved.answered("use", Answer.OVERLOAD, -1, 0);
+        starved.answered("use", Answer.REFUSED, -1, 0);
         assertEquals(0, starved.share(0), NONE);
         double before = 0;
-        Object[][] cases = {{Answer.OVERLOAD, -1L}, {Answer.FAILED, 0L}, {Answer.SERVED, 10 * MS + 1}};
+        Object[][] cases = {{Answer.REFUSED, -1L}, {Answer.FAILED, 0L}, {Answer.SERVED, 10 * MS + 1}};
         for (Object[] c : cases) {
             starved.answered("use", (Answer) c[0], (long) c[1], 0);
             assertTrue(c[0] + " counts", starved.share(0) > before);
