Table the drain's transitions in a test

Thirteen rows: drain, resume and the node's end in each state, what each says, whether the node is ready, and whether answers end connections after it. No change of the program; the test fails where what a drain has put off outlives its end (trial: "drain resume: answers end").

--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/DrainTransitionsTest.java
@@ -0,0 +1,109 @@
+package trailthread.daemon;
+
+import static org.junit.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.junit.After;
+import org.junit.Test;
+import trailthread.daemon.acceptor.Acceptor;
+import trailthread.daemon.acceptor.PlatformFront;
+import trailthread.engine.call.CallTaker;
+import trailthread.engine.call.ClientCall;
+import trailthread.engine.call.Reply;
+import trailthread.engine.loop.Loop;
+import trailthread.engine.meter.Meter;
+import trailthread.testkit.Message;
+import trailthread.testkit.Peer;
+
+/** What each of drain, resume and the node's end does in each state, as one table. */
+public class DrainTransitionsTest {
+    /** Past when a drain ends connections with their answers, before it closes what idles. */
+    private static final long ANSWERS_HAVE_ENDED_MS = 600;
+    /** Events; what each says, '-' for the end, which says nothing; is it ready; do answers end connections. */
+    private static final Object[][] TABLE = {
+        {"", "", true, false},
+        {"drain", "+", false, true},
+        {"drain drain", "++", false, true},
+        {"resume", "+", true, false},
+        {"drain resume", "++", true, false},
+        {"drain resume resume", "+++", true, false},
+        {"drain resume drain", "+++", false, true},
+        {"end drain", "-0", true, false}, // what is ready, and when answers end, is the shutdown's from then on
+        {"end resume", "-0", true, false},
+        {"drain end", "+-", false, false},
+        {"drain end resume", "+-0", false, false},
+        {"drain end drain", "+-0", false, false},
+        {"drain resume end resume", "++-0", true, false},
+    };
+    private final Loop loop;
+
+    public DrainTransitionsTest() throws IOException {
+        loop = new Loop("drain");
+    }
+
+    @After
+    public void end() {
+        loop.worker().shutdownNow();
+    }
+
+    private <T> T onLoop(Supplier<T> does) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> done.complete(does.get()));
+        return done.get(Peer.LONGEST_WAIT_S, TimeUnit.SECONDS);
+    }
+
+    private static String says(Drain drain, String event) {
+        if (event.equals("end")) {
+            drain.end();
+            return "-";
+        }
+        return (event.equals("drain") ? drain.drain() : drain.resume()) ? "+" : "0";
+    }
+
+    @Test
+    public void eachEventInEachState() throws Exception {
+        for (Object[] row : TABLE) {
+            String events = (String) row[0];
+            Acceptor acceptor = new Acceptor(loop, 8, 8, new PlatformFront(List.of(), new NoCalls()), Meter.OFF);
+            InetSocketAddress at = acceptor.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Drain drain = new Drain(loop, acceptor);
+            String said = onLoop(() -> {
+                acceptor.setReady(true);
+                StringBuilder all = new StringBuilder();
+                for (String event : events.isEmpty() ? new String[0] : events.split(" ")) {
+                    all.append(says(drain, event));
+                }
+                return all.toString();
+            });
+            assertEquals(events, row[1], said);
+            assertEquals(events + ": ready", row[2], onLoop(acceptor::isReady));
+            Thread.sleep(ANSWERS_HAVE_ENDED_MS);
+            try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+                client.setSoTimeout(1000 * Peer.LONGEST_WAIT_S);
+                Message.send(client, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+                Message answer = Message.read(client);
+                assertEquals(events, (boolean) row[2] ? 200 : 503, answer.status());
+                assertEquals(events + ": answers end", row[3], "close".equals(answer.header("Connection")));
+            }
+        }
+    }
+
+    private static final class NoCalls implements CallTaker {
+        @Override
+        public Runnable take(ClientCall call, long deadline, Reply reply) {
+            throw new AssertionError("no call is made");
+        }
+
+        @Override
+        public boolean isOpen(String id) {
+            return false;
+        }
+    }
+}
