Log the plan of a graceful shutdown and the time of each of its steps

Which step of a shutdown was late could not be seen: the log had "stops" and the number of requests given up. It has now the time from SIGTERM to the first work of the loop, the planned times and the lateness that they were planned with, the time at which the listening socket closed, how late open requests were given up and how long that took, and when and how the process ended.

--- a/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
+++ b/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
@@ -32,6 +32,8 @@
      */
     private static final long LAST_RESPONSES_NS = 1_700_000_000L;
 
+    private static final long NS_PER_MS = 1_000_000L;
+
     private final EventLoop loop;
     private final HttpListener listener;
     private final Drain drain;
@@ -73,11 +75,15 @@
         long requestedAt = loop.now();
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> begin(name, requestedAt, done));
-        done.await(longestDeadlineNs + LAST_RESPONSES_NS, TimeUnit.NANOSECONDS);
+        boolean allEnded = done.await(longestDeadlineNs + LAST_RESPONSES_NS, TimeUnit.NANOSECONDS);
+        LOG.info(
+                "{} ends {} ms after SIGTERM, {}",
+                name,
+                millisecondsSince(requestedAt),
+                allEnded ? "no connection left" : "connections left");
     }
 
     private void begin(String name, long requestedAt, CountDownLatch done) {
-        LOG.info("{} stops", name);
         drain.end();
         listener.setReady(false);
         long latenessNs = loop.latency().latenessNs(System.nanoTime());
@@ -91,6 +97,30 @@
         long closeWithResponsesNs =
                 listener.stopAcceptingIfShared() ? 0 : plan.closeWithResponsesNs();
         loop.after(closeWithResponsesNs - elapsedNs, () -> listener.closeAfterResponse(true));
-        loop.after(plan.closeNs() - elapsedNs, () -> listener.close(done::countDown));
+        loop.after(plan.closeNs() - elapsedNs, () -> close(requestedAt, plan.closeNs(), done));
+        LOG.info("{} stops", name);
+        LOG.info(
+                "begun {} ms after SIGTERM; planned: responses end connections {} ms after it, the"
+                        + " listening socket closes {}, requests are answered {}, earlier ones {};"
+                        + " the loop is up to {} ms late",
+                elapsedNs / NS_PER_MS,
+                closeWithResponsesNs / NS_PER_MS,
+                plan.closeNs() / NS_PER_MS,
+                plan.answeredNs() / NS_PER_MS,
+                planForAll.answeredNs() / NS_PER_MS,
+                latenessNs / NS_PER_MS);
+    }
+
+    private void close(long requestedAt, long plannedNs, CountDownLatch done) {
+        LOG.info(
+                "the listening socket closes {} ms after SIGTERM, planned {}; connections {}",
+                millisecondsSince(requestedAt),
+                plannedNs / NS_PER_MS,
+                listener.connections());
+        listener.close(done::countDown);
+    }
+
+    private long millisecondsSince(long time) {
+        return (loop.now() - time) / NS_PER_MS;
     }
 }
--- a/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
@@ -21,6 +21,7 @@
  */
 public final class RequestDispatcher implements RequestHandler {
     private static final Logger LOG = LoggerFactory.getLogger(RequestDispatcher.class);
+    private static final long NS_PER_MS = 1_000_000L;
 
     private final EventLoop loop;
     private final EndpointPool endpoints;
@@ -111,16 +112,22 @@
      */
     public void answerBy(long newOnes, long all) {
         latestDeadline = newOnes;
-        loop.afterReading(all - now(), this::giveUpOpenRequests);
+        loop.afterReading(all - now(), () -> giveUpOpenRequests(all));
     }
 
-    private void giveUpOpenRequests() {
-        if (!requests.isEmpty()) {
-            LOG.warn(
-                    "{} calls are given up: the process may be killed before they have their time",
-                    requests.size());
-            requests.snapshot().forEach(ActiveRequest::giveUp);
+    private void giveUpOpenRequests(long dueAt) {
+        int open = requests.size();
+        if (open == 0) {
+            return;
         }
+        long begunAt = now();
+        requests.snapshot().forEach(ActiveRequest::giveUp);
+        LOG.warn(
+                "{} calls are given up: the process may be killed before they have their time;"
+                        + " begun {} ms late, answered within {} ms",
+                open,
+                (begunAt - dueAt) / NS_PER_MS,
+                (now() - begunAt) / NS_PER_MS);
     }
 
     /** Sets which of the health checks that the balancer requests are made; at first, all. */
