Answer all requests that a shutdown gives up before cancelling any of their attempts

Callers saw: requests of a node that ends, unanswered when SIGKILL came (GracefulShutdownTest beside load, up to 26 of 28). One of its causes: the requests given up at the last moment were taken one after another, each with its answer, the balancer's events and the close of its attempt's connection, so that the last answer waited for all of that: up to 47 ms for 28 requests beside 24 busy shells and five loops of the test, 88 ms beside 100 busy threads, out of a margin of 150. And the balancer could send a waiting request to the capacity that a given up one had just freed.

Now all are answered first, then their attempts are cancelled. answerBy may be called again to bring the times forward; the timer is replaced. The line in the log says how late this began and how long the answers took, and counts open requests only (those with an answer whose attempt was still out were counted, too).

--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -278,13 +278,15 @@
         }
     }
 
-    /** Answers with a failure now, and cancels the attempt in flight. */
-    void giveUp() {
-        if (!finished) {
-            fail();
-            clientDisconnected();
-            cancel(attempts - 1);
-        }
+    /** Whether no answer is to be sent any more. */
+    boolean isFinished() {
+        return finished;
+    }
+
+    /** Cancels the attempt in flight of a request that was answered before its end. */
+    void abandon() {
+        clientDisconnected();
+        cancel(attempts - 1);
     }
 
     private void deadlineExceeded() {
--- a/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioExecutor;
 import trailthread.Balancer;
 import trailthread.api.Admission;
 import trailthread.api.EndpointEntry;
@@ -38,6 +39,9 @@
     /** The latest deadline of any request, by {@link EventLoop#now}. */
     private long latestDeadline = Long.MAX_VALUE;
 
+    /** Gives up the open requests; null until {@link #answerBy}. */
+    private XnioExecutor.Key giveUpTimer;
+
     /** Runs once the last request has ended after {@link #retire}; null before that. */
     private Runnable whenRetired;
 
@@ -105,29 +109,40 @@
     }
 
     /**
-     * Bounds deadlines, as the process may be killed soon. Times are by {@link EventLoop#now}, ns.
+     * Bounds deadlines, as the process may be killed soon. Called again, it may only bring the
+     * times forward. Times are by {@link EventLoop#now}, ns.
      *
      * @param newOnes the latest deadline of requests that are admitted from now on
      * @param all when every request still open is given up
      */
     public void answerBy(long newOnes, long all) {
         latestDeadline = newOnes;
-        loop.afterReading(all - now(), () -> giveUpOpenRequests(all));
+        if (giveUpTimer != null) {
+            giveUpTimer.remove();
+        }
+        giveUpTimer = loop.afterReading(all - now(), () -> giveUpOpenRequests(all));
     }
 
+    /**
+     * Answers every open request with a failure, and only then cancels their attempts: that takes
+     * longer, and a request would have to wait for those before it.
+     */
     private void giveUpOpenRequests(long dueAt) {
-        int open = requests.size();
-        if (open == 0) {
+        List<ActiveRequest> open =
+                requests.snapshot().stream().filter(request -> !request.isFinished()).toList();
+        if (open.isEmpty()) {
             return;
         }
         long begunAt = now();
-        requests.snapshot().forEach(ActiveRequest::giveUp);
+        open.forEach(ActiveRequest::fail);
+        long answeredAt = now();
+        open.forEach(ActiveRequest::abandon);
         LOG.warn(
                 "{} calls are given up: the process may be killed before they have their time;"
                         + " begun {} ms late, answered within {} ms",
-                open,
+                open.size(),
                 (begunAt - dueAt) / NS_PER_MS,
-                (now() - begunAt) / NS_PER_MS);
+                (answeredAt - begunAt) / NS_PER_MS);
     }
 
     /** Sets which of the health checks that the balancer requests are made; at first, all. */
--- /dev/null
+++ b/engine/src/test/java/trailthread/engine/request/SingleEndpointDispatcher.java
@@ -0,0 +1,110 @@
+package trailthread.engine.request;
+
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.function.Consumer;
+import trailthread.api.DeduplicationScope;
+import trailthread.api.EndpointEntry;
+import trailthread.api.EndpointState;
+import trailthread.api.Idempotency;
+import trailthread.api.ListKind;
+import trailthread.api.RequestClass;
+import trailthread.api.Settings;
+import trailthread.engine.discovery.DiscoveredEndpoint;
+import trailthread.engine.discovery.DiscoveryUpdate;
+import trailthread.engine.endpoint.ConnectionLimit;
+import trailthread.engine.endpoint.EndpointPool;
+import trailthread.engine.loop.CpuAccount;
+import trailthread.engine.loop.EventLoop;
+import trailthread.engine.metrics.MetricsRecorder;
+
+/** A dispatcher with one endpoint and one class of requests, whose timeouts are a minute. */
+final class SingleEndpointDispatcher {
+    private static final long TIMEOUT_NS = 60_000_000_000L;
+    private static final int MAX_CONNECTIONS = 4;
+
+    final RequestDispatcher dispatcher;
+    private final EventLoop loop;
+    private final EndpointPool endpoints;
+    private final int port;
+
+    /**
+     * Makes a dispatcher that does not know of its endpoint yet.
+     *
+     * @param port where the endpoint listens, on loopback
+     */
+    SingleEndpointDispatcher(EventLoop loop, int port) {
+        this.loop = loop;
+        this.port = port;
+        endpoints =
+                new EndpointPool(
+                        loop,
+                        TIMEOUT_NS,
+                        TIMEOUT_NS,
+                        0,
+                        ConnectionLimit.of(MAX_CONNECTIONS),
+                        0,
+                        CpuAccount.NONE);
+        dispatcher = new RequestDispatcher(loop, endpoints, settings(), 1, MetricsRecorder.OFF);
+    }
+
+    private static Settings settings() {
+        Settings settings = new Settings();
+        settings.classes.add(
+                new RequestClass(
+                        "use",
+                        TIMEOUT_NS,
+                        0,
+                        TIMEOUT_NS,
+                        Idempotency.NOT_IDEMPOTENT,
+                        DeduplicationScope.ALL,
+                        0,
+                        1,
+                        0));
+        return settings;
+    }
+
+    /** Lists the endpoint. To be called on the loop's thread. */
+    void list() {
+        DiscoveredEndpoint endpoint =
+                new DiscoveredEndpoint("w", "127.0.0.1:" + port, "a", 0, EndpointState.READY, 1, 0);
+        endpoints.update(new DiscoveryUpdate(1, true, List.of(endpoint)), loop.now());
+        EndpointEntry entry = new EndpointEntry("w", 1, EndpointState.READY, "a", 0, 0);
+        dispatcher.list(ListKind.FULL, List.of(entry));
+    }
+
+    /**
+     * Admits a request. To be called on the loop's thread.
+     *
+     * @param called gets the name of each method of its response that is called
+     * @return to run when the client disconnects
+     */
+    Runnable take(String id, Consumer<String> called) {
+        ClientRequest request =
+                new ClientRequest(
+                        id,
+                        "use",
+                        null,
+                        TIMEOUT_NS,
+                        false,
+                        0,
+                        0,
+                        "POST",
+                        "/use",
+                        null,
+                        new byte[4],
+                        null);
+        return dispatcher.take(request, loop.now() + TIMEOUT_NS, response(called));
+    }
+
+    private static ClientResponse response(Consumer<String> called) {
+        return (ClientResponse)
+                Proxy.newProxyInstance(
+                        ClientResponse.class.getClassLoader(),
+                        new Class<?>[] {ClientResponse.class},
+                        (proxy, method, args) -> {
+                            called.accept(method.getName());
+                            return null;
+                        });
+    }
+}
