Bring a shutdown's plan forward while the loop gets later, or a reload shortens deadlines

Callers saw: requests of a node that ends, unanswered when SIGKILL came, on a machine that got busy after SIGTERM, as it does in a rolling restart. The plan's margin is 150 ms and as much again for the loop's lateness, but that was read once, at SIGTERM.

The plan is now made again every 25 ms and replaced by an earlier one, never a later. As it goes by the deadlines in force, SIGHUP that crosses SIGTERM counts, too: the kill may be counted by the shorter deadlines. ShutdownReplanTest fails without it in both cases, as no second plan comes. What a late timer needs is loaded when the shutdown begins.

--- a/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
+++ b/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
@@ -1,9 +1,12 @@
 package trailthread.daemon;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioExecutor;
 import trailthread.daemon.listener.HttpListener;
 import trailthread.engine.loop.EventLoop;
 
@@ -15,8 +18,8 @@
     /** Holds the requests in flight; they must be answered before the process is killed. */
     public interface AtWork {
         /**
-         * Sets the times by which requests must be answered. Times are those of {@link
-         * EventLoop#now}, in nanoseconds.
+         * Sets the times by which requests must be answered; later calls bring them forward. Times
+         * are those of {@link EventLoop#now}, in nanoseconds.
          *
          * @param newOnes for requests admitted from now on
          * @param all for all requests
@@ -32,6 +35,9 @@
      */
     private static final long LAST_RESPONSES_NS = 1_700_000_000L;
 
+    /** How often it is looked whether the plan is to be brought forward. */
+    private static final long PLAN_INTERVAL_NS = 25_000_000L;
+
     private static final long NS_PER_MS = 1_000_000L;
 
     private final EventLoop loop;
@@ -48,6 +54,27 @@
      */
     private volatile long longestDeadlineNs;
 
+    /** When SIGTERM came, by the loop's clock in nanoseconds. */
+    private long requestedAt;
+
+    /** Opened once no connection is left. */
+    private CountDownLatch done;
+
+    /** Whether other processes accept from the listening socket, too. */
+    private boolean shared;
+
+    /** For requests admitted from now on. */
+    private ShutdownPlan plan;
+
+    /** For all requests. */
+    private ShutdownPlan planForAll;
+
+    /** The steps of the plan that are still to come, or have been taken. */
+    private final List<XnioExecutor.Key> steps = new ArrayList<>();
+
+    /** Whether the listening socket is closing. */
+    private boolean closing;
+
     /** Makes the shutdown of a node that serves with the listener. */
     public GracefulShutdown(EventLoop loop, HttpListener listener, Drain drain, AtWork requests) {
         this.loop = loop;
@@ -84,38 +111,89 @@
     }
 
     private void begin(String name, long requestedAt, CountDownLatch done) {
+        this.requestedAt = requestedAt;
+        this.done = done;
+        long beginsAfterNs = loop.now() - requestedAt;
         drain.end();
         listener.setReady(false);
-        long latenessNs = loop.latency().latenessNs(System.nanoTime());
+        // If another process accepts for this node, clients reach it as soon as they reconnect.
+        shared = listener.stopAcceptingIfShared();
+        long latenessNs = latenessNs();
         // The platform does not say whether a reload changes the deadlines it counts by, so new
         // requests are planned by the newest ones.
-        ShutdownPlan plan = ShutdownPlan.of(deadlineInForceNs, latenessNs);
-        ShutdownPlan planForAll = ShutdownPlan.of(longestDeadlineNs, latenessNs);
+        follow(
+                ShutdownPlan.of(deadlineInForceNs, latenessNs),
+                ShutdownPlan.of(longestDeadlineNs, latenessNs));
+        LOG.info("{} stops, begun {} ms after SIGTERM", name, beginsAfterNs / NS_PER_MS);
+        logPlan(latenessNs);
+        // Loads now what a late timer needs. Prevents the time for that from being taken out of the
+        // margin, when open requests are given up.
+        loop.afterSockets(this::planAgain);
+    }
+
+    private long latenessNs() {
+        return loop.latency().latenessNs(System.nanoTime());
+    }
+
+    /**
+     * Brings the plan forward if the loop has become later, as other processes have become busy, or
+     * if a reload has shortened deadlines.
+     */
+    private void planAgain() {
+        long latenessNs = latenessNs();
+        ShutdownPlan next = ShutdownPlan.of(deadlineInForceNs, latenessNs);
+        if (next.isEarlierThan(plan)) {
+            ShutdownPlan nextForAll = ShutdownPlan.of(longestDeadlineNs, latenessNs);
+            follow(next, ShutdownPlan.earlier(planForAll, nextForAll));
+            logPlan(latenessNs);
+        }
+        if (loop.now() < requestedAt + planForAll.answeredNs()) {
+            loop.after(PLAN_INTERVAL_NS, this::planAgain);
+        }
+    }
+
+    private void follow(ShutdownPlan newPlan, ShutdownPlan newPlanForAll) {
+        plan = newPlan;
+        planForAll = newPlanForAll;
         requests.answerBy(requestedAt + plan.answeredNs(), requestedAt + planForAll.answeredNs());
-        long elapsedNs = loop.now() - requestedAt;
-        // If another process accepts for this node, clients reach it as soon as they reconnect.
-        long closeWithResponsesNs =
-                listener.stopAcceptingIfShared() ? 0 : plan.closeWithResponsesNs();
-        loop.after(closeWithResponsesNs - elapsedNs, () -> listener.closeAfterResponse(true));
-        loop.after(plan.closeNs() - elapsedNs, () -> close(requestedAt, plan.closeNs(), done));
-        LOG.info("{} stops", name);
+        cancelSteps();
+        steps.add(runAt(closeWithResponsesNs(), () -> listener.closeAfterResponse(true)));
+        if (!closing) {
+            steps.add(runAt(plan.closeNs(), this::close));
+        }
+    }
+
+    private long closeWithResponsesNs() {
+        return shared ? 0 : plan.closeWithResponsesNs();
+    }
+
+    private void logPlan(long latenessNs) {
         LOG.info(
-                "begun {} ms after SIGTERM; planned: responses end connections {} ms after it, the"
-                        + " listening socket closes {}, requests are answered {}, earlier ones {};"
-                        + " the loop is up to {} ms late",
-                elapsedNs / NS_PER_MS,
-                closeWithResponsesNs / NS_PER_MS,
+                "planned: responses end connections {} ms after SIGTERM, the listening socket"
+                        + " closes {}, requests are answered {}, earlier ones {}; the loop is up to"
+                        + " {} ms late",
+                closeWithResponsesNs() / NS_PER_MS,
                 plan.closeNs() / NS_PER_MS,
                 plan.answeredNs() / NS_PER_MS,
                 planForAll.answeredNs() / NS_PER_MS,
                 latenessNs / NS_PER_MS);
     }
 
-    private void close(long requestedAt, long plannedNs, CountDownLatch done) {
+    private void cancelSteps() {
+        steps.forEach(XnioExecutor.Key::remove);
+        steps.clear();
+    }
+
+    private XnioExecutor.Key runAt(long afterRequestNs, Runnable step) {
+        return loop.after(requestedAt + afterRequestNs - loop.now(), step);
+    }
+
+    private void close() {
+        closing = true;
         LOG.info(
                 "the listening socket closes {} ms after SIGTERM, planned {}; connections {}",
                 millisecondsSince(requestedAt),
-                plannedNs / NS_PER_MS,
+                plan.closeNs() / NS_PER_MS,
                 listener.connections());
         listener.close(done::countDown);
     }
--- a/daemon/src/main/java/trailthread/daemon/ShutdownPlan.java
+++ b/daemon/src/main/java/trailthread/daemon/ShutdownPlan.java
@@ -26,6 +26,9 @@
     /** For the signal to arrive and responses to be written, on a part of a core. */
     private static final long MARGIN_NS = 150_000_000L;
 
+    /** A plan is not replaced for less. */
+    private static final long LEAST_CHANGE_NS = 10_000_000L;
+
     /**
      * Plans a shutdown.
      *
@@ -41,4 +44,14 @@
         long closeNs = Math.min(SERVE_ON_NS, answeredNs - deadlineNs / 2);
         return new ShutdownPlan(closeNs - CLOSE_WITH_RESPONSES_NS, closeNs, answeredNs);
     }
+
+    /** Whether this plan is so much earlier than another that it is worth replacing it. */
+    boolean isEarlierThan(ShutdownPlan other) {
+        return answeredNs <= other.answeredNs - LEAST_CHANGE_NS;
+    }
+
+    /** The plan of the two by which requests are answered earlier. */
+    static ShutdownPlan earlier(ShutdownPlan one, ShutdownPlan other) {
+        return one.answeredNs <= other.answeredNs ? one : other;
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/trailthread/daemon/ShutdownReplanTest.java
@@ -0,0 +1,116 @@
+package trailthread.daemon;
+
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import trailthread.daemon.listener.HttpListener;
+import trailthread.daemon.listener.PlatformFrontend;
+import trailthread.engine.loop.EventLoop;
+import trailthread.engine.metrics.MetricsRecorder;
+
+/** A shutdown whose circumstances get worse while it is under way. */
+public class ShutdownReplanTest {
+    private static final long DEADLINE_NS = 30_000_000_000L;
+    private static final long SHORT_DEADLINE_NS = 300_000_000L;
+    private static final long LONGEST_WAIT_S = 30;
+    private static final int MAX_CONNECTIONS = 8;
+
+    private static final long PUNCTUAL_NS = 20_000_000L;
+
+    /** Longer than the lateness of an idle loop, and more than the plan is replaced for. */
+    private static final long BUSY_MS = 100;
+
+    private final EventLoop loop;
+
+    /** The times by which requests admitted from now on are to be answered, as they are set. */
+    private final BlockingQueue<Long> answerTimes = new LinkedBlockingQueue<>();
+
+    private GracefulShutdown shutdown;
+
+    public ShutdownReplanTest() throws IOException {
+        loop = new EventLoop("replan");
+    }
+
+    @Before
+    public void begin() throws Exception {
+        HttpListener listener =
+                new HttpListener(
+                        loop,
+                        MAX_CONNECTIONS,
+                        MAX_CONNECTIONS,
+                        new PlatformFrontend(List.of(), null),
+                        MetricsRecorder.OFF);
+        listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        shutdown =
+                new GracefulShutdown(
+                        loop,
+                        listener,
+                        new Drain(loop, listener),
+                        (newOnes, all) -> answerTimes.add(newOnes));
+        shutdown.waitsFor(DEADLINE_NS);
+        awaitPunctualLoop();
+        Thread hook = new Thread(this::await);
+        hook.setDaemon(true);
+        hook.start();
+    }
+
+    /** A loop that is late already would leave nothing to bring forward. */
+    private void awaitPunctualLoop() throws InterruptedException {
+        while (loop.latency().latenessNs(System.nanoTime()) > PUNCTUAL_NS) {
+            Thread.sleep(1);
+        }
+    }
+
+    private void await() {
+        try {
+            shutdown.await("n0");
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @After
+    public void end() {
+        loop.worker().shutdownNow();
+    }
+
+    private long nextAnswerTime() throws InterruptedException {
+        Long next = answerTimes.poll(LONGEST_WAIT_S, TimeUnit.SECONDS);
+        assertNotNull("a plan is made", next);
+        return next;
+    }
+
+    private static void keepBusy() {
+        try {
+            Thread.sleep(BUSY_MS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Guards against requests that are killed unanswered, as the node got busy after SIGTERM. */
+    @Test
+    public void aLoopThatBecomesLateAnswersEarlier() throws Exception {
+        long planned = nextAnswerTime();
+        loop.execute(ShutdownReplanTest::keepBusy);
+        assertTrue("the plan is brought forward", nextAnswerTime() < planned);
+    }
+
+    /** Guards against requests that are killed unanswered where SIGHUP crosses SIGTERM. */
+    @Test
+    public void aReloadThatShortensDeadlinesAnswersEarlier() throws Exception {
+        long planned = nextAnswerTime();
+        shutdown.waitsFor(SHORT_DEADLINE_NS);
+        assertTrue("the plan is brought forward", nextAnswerTime() < planned);
+    }
+}
