Wait in EndByMomentTest until the silent connection is accepted

Brought back 3 times in some 130 runs, on a machine that is a little busy (3 busy shells, 2 to 5 loops of the test; 42 class runs beside 16 busy shells and six loops had none, as the node is late there and accepts for 100 ms longer): "Connection reset" where the accepted and silent connection is read.

Cause: the test, in its row "accepted and silent". The listening socket closes within 2 ms of the connect, and the thread that accepts may not have run. Shown by a trial that logs the connections by state 15 ms after the end began: silent 1 in each of the 58 runs that passed, silent 0 in the one that failed, on a loop with 0 ms of lateness. What waits to be accepted is reset with the listening socket; that row has a test of its own (LateLoopTest), and the platform's new connections stop 75 ms before the earliest such close.

The test waits for the state that its row is about. As strict: what must happen to each connection is as it was.

--- a/daemon/src/test/java/trailthread/daemon/listener/EndByMomentTest.java
+++ b/daemon/src/test/java/trailthread/daemon/listener/EndByMomentTest.java
@@ -180,6 +180,7 @@
         final ByteSink sink = sinks.poll(30, TimeUnit.SECONDS);
         Socket halfBody = connect(request().replace("pour", "po"));
         Socket silent = connect("");
+        awaitAccepted();
         CountDownLatch ending = new CountDownLatch(1);
         loop.execute(
                 () -> {
@@ -225,6 +226,17 @@
         assertTrue("with half a response", received.size() > LONG_BODY_BYTES);
     }
 
+    /**
+     * Waits until the connection on which nothing is sent is accepted. One that still waits to be
+     * accepted is reset with the listening socket.
+     */
+    private void awaitAccepted() throws InterruptedException {
+        BlockingQueue<Integer> silent = new LinkedBlockingQueue<>();
+        do {
+            loop.execute(() -> silent.add(listener.connections().get("silent")));
+        } while (silent.poll(30, TimeUnit.SECONDS) == 0);
+    }
+
     private static void assertLastResponse(String moment, String received) {
         assertTrue(
                 moment + ": " + received,
