Say at the start that SIGHUP is ignored, and how to restore it

Cause: the Java virtual machine installs no handler for a signal that was ignored at its start, whatever the program asks; Signal.handle then returns SIG_IGN.

StartAndStopTest starts the real program under nohup: the warning was not there before, and with env the reload is taken over.

--- a/daemon/src/main/java/trailthread/daemon/Lifecycle.java
+++ b/daemon/src/main/java/trailthread/daemon/Lifecycle.java
@@ -65,7 +65,13 @@
                                 }
                                 return null;
                             });
-            signalType.getMethod("handle", signalType, handlerType).invoke(null, hangup, handler);
+            Object previous =
+                    signalType
+                            .getMethod("handle", signalType, handlerType)
+                            .invoke(null, hangup, handler);
+            if (previous == handlerType.getField("SIG_IGN").get(null)) {
+                warnOfIgnoredHangup();
+            }
         } catch (ReflectiveOperationException e) {
             LoggerFactory.getLogger(Lifecycle.class)
                     .warn("SIGHUP is not handled: {}", e.toString());
@@ -73,6 +79,15 @@
         return reload;
     }
 
+    /** The Java virtual machine installs no handler for a signal that was ignored at its start. */
+    private static void warnOfIgnoredHangup() {
+        LoggerFactory.getLogger(Lifecycle.class)
+                .warn(
+                        "SIGHUP was ignored when the process started, as under nohup, and stays so:"
+                                + " the configuration is never read again. Remedy: start it without"
+                                + " nohup, or with 'env --default-signal=HUP' before 'java'");
+    }
+
     /**
      * Starts serving, with a shutdown hook that SIGTERM runs; the hook is in place before the first
      * request can come. After a graceful shutdown the exit status is 0 in place of the signal's.
--- a/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
+++ b/daemon/src/test/java/trailthread/daemon/StartAndStopTest.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.After;
 import org.junit.Test;
@@ -89,6 +90,27 @@
         stage.logged("configuration taken over");
     }
 
+    /** Guards against a node that never reloads, and does not say so. */
+    @Test
+    public void anIgnoredSighupIsReportedAtTheStart() throws Exception {
+        stage.launcher = List.of("nohup");
+        stage.start(TestCluster.SETTINGS);
+        String warning = stage.logged("SIGHUP was ignored");
+        assertTrue(warning, warning.contains("WARN") && warning.contains("--default-signal=HUP"));
+        stage.reload(stage.config(TestCluster.SETTINGS));
+        stage.terminate();
+        assertEquals("the signal did not end it", 0, stage.exitStatus());
+    }
+
+    /** Guards against a node that does not reload, although it is started as the warning says. */
+    @Test
+    public void aSighupIgnoredByTheCallerIsHandledIfTheLauncherRestoresIt() throws Exception {
+        stage.launcher = List.of("nohup", "env", "--default-signal=HUP");
+        stage.start(TestCluster.SETTINGS);
+        stage.reload(stage.config(TestCluster.SETTINGS));
+        stage.logged("configuration taken over");
+    }
+
     /**
      * Prevents a shutdown that waits by the deadlines in force from cutting off requests that were
      * admitted with longer ones.
--- a/testkit/src/main/java/trailthread/testkit/TestCluster.java
+++ b/testkit/src/main/java/trailthread/testkit/TestCluster.java
@@ -14,6 +14,8 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -54,7 +56,7 @@
     /** The lines that the program has written since it was started last. */
     public final List<String> log = new CopyOnWriteArrayList<>();
 
-    private final List<Closeable> open = new ArrayList<>();
+    private final Queue<Closeable> open = new ConcurrentLinkedQueue<>();
     private final Path config = Files.createTempFile("trailthread", ".json");
     private Process node;
 
@@ -64,6 +66,9 @@
     /** More keys of the configuration, each followed by a comma. */
     public String more = "";
 
+    /** The command that starts the program's own one, such as {@code nohup}; empty: none. */
+    public List<String> launcher = List.of();
+
     /** The port on which the program serves, or served last. */
     public volatile int port;
 
@@ -150,13 +155,13 @@
     }
 
     private Process launch(List<String> words) throws IOException {
-        List<String> command =
-                new ArrayList<>(
-                        List.of(
-                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                "-Xmx64m"));
+        List<String> command = new ArrayList<>(launcher);
+        command.addAll(
+                List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "-Xmx64m"));
         command.addAll(words);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("LB_CONFIG", config.toString());
@@ -315,6 +320,16 @@
         node.toHandle().destroy(); // Process.destroy would close the output
     }
 
+    /** Sends SIGKILL to the program. */
+    public void kill() {
+        node.toHandle().destroyForcibly();
+    }
+
+    /** Waits for the program to end; whether it does in time. */
+    public boolean endsWithin(long time, TimeUnit unit) throws InterruptedException {
+        return node.waitFor(time, unit);
+    }
+
     /** Waits for the program to end, and returns its exit status. */
     public int exitStatus() throws InterruptedException {
         assertTrue(
@@ -335,7 +350,7 @@
             c.close();
         }
         if (node != null) {
-            node.toHandle().destroyForcibly();
+            kill();
             node.waitFor();
         }
         Files.deleteIfExists(config);
