Name the shutdown's open requests and longest deadline by what they are

AtWork becomes OpenRequests and waitsFor setLongestDeadline, two of the names that needed explaining; the plan's line in the log says that requests "are to be answered by" a time, as nodes of an operator's file do not enforce it.

--- a/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
+++ b/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
@@ -16,7 +16,7 @@
  */
 public final class GracefulShutdown {
     /** Holds the requests in flight; they must be answered before the process is killed. */
-    public interface AtWork {
+    public interface OpenRequests {
         /**
          * Sets the times by which requests must be answered; later calls bring them forward. Times
          * are those of {@link EventLoop#now}, in nanoseconds.
@@ -43,7 +43,7 @@
     private final EventLoop loop;
     private final HttpListener listener;
     private final Drain drain;
-    private final AtWork requests;
+    private final OpenRequests requests;
 
     /** The longest deadline by the settings in force. */
     private volatile long deadlineInForceNs;
@@ -76,7 +76,8 @@
     private boolean closing;
 
     /** Makes the shutdown of a node that serves with the listener. */
-    public GracefulShutdown(EventLoop loop, HttpListener listener, Drain drain, AtWork requests) {
+    public GracefulShutdown(
+            EventLoop loop, HttpListener listener, Drain drain, OpenRequests requests) {
         this.loop = loop;
         this.listener = listener;
         this.drain = drain;
@@ -87,7 +88,7 @@
      * Sets the longest deadline of new requests from now on, in nanoseconds. Must not be called by
      * several threads at once.
      */
-    public void waitsFor(long deadlineNs) {
+    public void setLongestDeadline(long deadlineNs) {
         deadlineInForceNs = deadlineNs;
         longestDeadlineNs = Math.max(longestDeadlineNs, deadlineNs);
     }
@@ -170,8 +171,8 @@
     private void logPlan(long latenessNs) {
         LOG.info(
                 "planned: responses end connections {} ms after SIGTERM, the listening socket"
-                        + " closes {}, requests are answered {}, earlier ones {}; the loop is up to"
-                        + " {} ms late",
+                        + " closes {}, requests are to be answered by {}, earlier ones by {}; the"
+                        + " loop is up to {} ms late",
                 closeWithResponsesNs() / NS_PER_MS,
                 plan.closeNs() / NS_PER_MS,
                 plan.answeredNs() / NS_PER_MS,
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -91,7 +91,7 @@
                         loop, descriptors.forClients(), maxActiveClients(), frontend, metrics);
         drain = new Drain(loop, listener);
         shutdown = new GracefulShutdown(loop, listener, drain, requests::answerBy);
-        shutdown.waitsFor(config.longestDeadlineNs());
+        shutdown.setLongestDeadline(config.longestDeadlineNs());
     }
 
     private int maxActiveClients() {
@@ -184,7 +184,7 @@
         try {
             NodeConfig next = config.reload(environment);
             config = next;
-            shutdown.waitsFor(next.longestDeadlineNs());
+            shutdown.setLongestDeadline(next.longestDeadlineNs());
             loop.execute(() -> apply(next));
         } catch (ConfigException e) {
             LOG.error("configuration not taken over: {}", e.getMessage());
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -197,7 +197,7 @@
     /** Changes pools and routes between two requests. */
     private void apply(OperatorFile next) {
         ServicesConfig services = next.services();
-        shutdown.waitsFor(longestDeadlineNs(services));
+        shutdown.setLongestDeadline(longestDeadlineNs(services));
         PoolSet.Change change = pools.apply(services.pools());
         file = next;
         RouteTable routes = new RouteTable(services.routes());
--- a/daemon/src/test/java/trailthread/daemon/ShutdownReplanTest.java
+++ b/daemon/src/test/java/trailthread/daemon/ShutdownReplanTest.java
@@ -57,7 +57,7 @@
                         listener,
                         new Drain(loop, listener),
                         (newOnes, all) -> answerTimes.add(newOnes));
-        shutdown.waitsFor(DEADLINE_NS);
+        shutdown.setLongestDeadline(DEADLINE_NS);
         awaitPunctualLoop();
         Thread hook = new Thread(this::await);
         hook.setDaemon(true);
@@ -110,7 +110,7 @@
     @Test
     public void aReloadThatShortensDeadlinesAnswersEarlier() throws Exception {
         long planned = nextAnswerTime();
-        shutdown.waitsFor(SHORT_DEADLINE_NS);
+        shutdown.setLongestDeadline(SHORT_DEADLINE_NS);
         assertTrue("the plan is brought forward", nextAnswerTime() < planned);
     }
 }
