--- a/daemon/src/main/java/trailthread/daemon/ShutdownPlan.java
+++ b/daemon/src/main/java/trailthread/daemon/ShutdownPlan.java
@@ -45,7 +45,7 @@
         return new ShutdownPlan(closeNs - CLOSE_WITH_RESPONSES_NS, closeNs, answeredNs);
     }
 
-    /** Whether this plan is so much earlier than another that it is worth replacing it. */
+    /** Whether this plan is earlier than another by enough to replace it. */
     boolean isEarlierThan(ShutdownPlan other) {
         return answeredNs <= other.answeredNs - LEAST_CHANGE_NS;
     }
