--- a/daemon/src/test/java/trailthread/daemon/soak/Scenario.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/Scenario.java
@@ -100,7 +100,9 @@
                 signals.add(new TimedSignal("TERM", 1 + random.nextInt(100)));
                 signals.add(new TimedSignal("TERM", 200 + random.nextInt(300)));
             }
-            default -> {} // SIGTERM alone
+            default -> {
+                // SIGTERM alone
+            }
         }
         return signals;
     }
