--- a/daemon/src/test/java/trailthread/daemon/soak/ShutdownSoakTest.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/ShutdownSoakTest.java
@@ -11,8 +11,8 @@
 public class ShutdownSoakTest {
     private static final String SEEDS = System.getProperty("soak.seeds", "1-12");
 
-    /** Broken rules came under these where the program got less than a tenth of a core. */
-    private static final long[] SEEDS_BROKEN_WHEN_STARVED = {41, 180, 403, 458, 703};
+    /** Rules broke under these beside heavy load. */
+    private static final long[] SEEDS_BROKEN_BESIDE_LOAD = {41, 180, 403, 458, 703};
 
     private final ShutdownSoak soak = new ShutdownSoak(System.out);
 
@@ -28,7 +28,7 @@
     /** Guards against responses that come late, or not at all, on a machine that is overloaded. */
     @Test
     public void nothingIsLostUnderSeedsThatBrokeBesideHeavyLoad() throws Exception {
-        for (long seed : SEEDS_BROKEN_WHEN_STARVED) {
+        for (long seed : SEEDS_BROKEN_BESIDE_LOAD) {
             soak.play(seed);
         }
         assertPassed();
