Log each failed attempt and each refused or failed request with its id and reason

Cause: AttemptExchange drops the reason of a broken exchange, and nothing logs an attempt's end.

Change: EndpointLog writes one line for each attempt that was not served (request id, endpoint, outcome, reason, how long, whether the request was sent, on a new connection or one idle for how long), RequestLog one for each request rejected or failed, with its number of attempts. The warm-up on the node's own address is not logged.

--- a/daemon/src/main/java/trailthread/daemon/LoopbackWarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/LoopbackWarmUp.java
@@ -130,6 +130,7 @@
                         config.settings(),
                         config.seed(),
                         MetricsRecorder.OFF);
+        loopbackRequests.useForLoopback();
     }
 
     /**
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -30,6 +30,7 @@
 
     private final EventLoop loop;
     private final ConnectionPool connections;
+    private final EndpointLog log;
 
     /** Null: the endpoint is not in the list. */
     private final PooledEndpoint endpoint;
@@ -57,12 +58,21 @@
 
     private boolean ended;
 
+    private boolean requestSent;
+
+    /** How long the connection was idle before, or {@link EndpointLog#NEVER_IDLE}. */
+    private long connectionIdleNs = EndpointLog.NEVER_IDLE;
+
+    /** Why the exchange failed, with the endpoint as the subject; null: the outcome says it. */
+    private String failureReason;
+
     /** Null until the response's head has been received. */
     private AttemptResponse response;
 
     AttemptExchange(
             EventLoop loop,
             ConnectionPool connections,
+            EndpointLog log,
             PooledEndpoint endpoint,
             EndpointRequest request,
             long timeoutNs,
@@ -70,6 +80,7 @@
             AttemptListener listener) {
         this.loop = loop;
         this.connections = connections;
+        this.log = log;
         this.endpoint = endpoint;
         this.request = request;
         this.listener = listener;
@@ -89,6 +100,7 @@
         timeoutTimer = loop.schedule(timeoutAt - loop.now(), this::handleTimeout);
         HttpConnection idle = connections.takeIdle(endpoint);
         if (idle != null) {
+            connectionIdleNs = loop.now() - idle.idleSince();
             sendOn(idle);
             return;
         }
@@ -185,6 +197,7 @@
 
     @Override
     public void requestSent() {
+        requestSent = true;
         sentAt = loop.now(); // the time to send a long body is not part of the endpoint's latency
         if (request.bodySource() != null && !isStreaming() && !ended) {
             cancelTimeout();
@@ -236,6 +249,7 @@
 
     @Override
     public void exchangeFailed(String reason) {
+        failureReason = reason;
         Outcome outcome = isRequestSent() ? Outcome.RESET : outcomeIfNotSent();
         // a load report in the head of a broken response is not trusted either
         endAttempt(outcome, elapsedNs(), null);
@@ -307,6 +321,9 @@
         }
         cancelTimeout();
         connectTimer = cancelTimer(connectTimer);
+        if (outcome != Outcome.OK) {
+            logFailure(outcome);
+        }
         if (cancelConnect != null) {
             cancelConnect.run();
         }
@@ -320,4 +337,15 @@
         }
         listener.attemptEnded(new AttemptResult(outcome, latencyNs, load, received));
     }
+
+    private void logFailure(Outcome outcome) {
+        log.attemptFailed(
+                request.id(),
+                endpoint == null ? "an unlisted endpoint" : endpoint.instanceId,
+                outcome,
+                failureReason,
+                elapsedNs(),
+                requestSent || isRequestSent(),
+                connectionIdleNs);
+    }
 }
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
@@ -18,6 +18,7 @@
     private final Map<String, PooledEndpoint> endpoints = new HashMap<>();
     private final ConnectionPool connections;
     private final EventLoop loop;
+    private final EndpointLog log;
     private final long latencyToleranceNs;
     private final CpuAccount account;
 
@@ -39,12 +40,18 @@
             long latencyToleranceNs,
             CpuAccount account) {
         this.loop = loop;
+        log = new EndpointLog(loop);
         this.latencyToleranceNs = latencyToleranceNs;
         this.account = account;
         this.connections =
                 new ConnectionPool(loop, connectTimeoutNs, idleNs, drainGraceNs, limit, account);
     }
 
+    /** To be called if the only endpoint is this process itself: its failures are not logged. */
+    public void useForLoopback() {
+        log.disable();
+    }
+
     /** Changes the timeouts, which are explained at the constructor. */
     public void setTimeouts(long connectTimeoutNs, long idleNs, long drainGraceNs) {
         connections.setTimeouts(connectTimeoutNs, idleNs, drainGraceNs);
@@ -148,7 +155,14 @@
         PooledEndpoint endpoint = endpoints.get(instanceId);
         AttemptExchange attempt =
                 new AttemptExchange(
-                        loop, connections, endpoint, request, timeoutNs, writeDeadline, listener);
+                        loop,
+                        connections,
+                        log,
+                        endpoint,
+                        request,
+                        timeoutNs,
+                        writeDeadline,
+                        listener);
         loop.execute(() -> account.runCharged(attempt::start));
         return attempt;
     }
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -247,6 +247,7 @@
         if (!finished) {
             finish();
             recordResult(RequestResult.REFUSED);
+            dispatcher.log().rejected(client, attempts);
             response.reject(retryAfterNs);
             releaseIfDone();
         }
@@ -257,6 +258,7 @@
         if (!finished) {
             finish();
             recordResult(RequestResult.FAILED);
+            dispatcher.log().failed(client, attempts);
             response.fail();
             releaseIfDone();
         }
--- a/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
@@ -31,6 +31,7 @@
     private final BalancerActionExecutor actions;
     private final Balancer balancer;
     private final ActiveRequests requests = new ActiveRequests();
+    private final RequestLog log;
     private long lastId;
 
     /** How long after its deadline a request may still be answered, ns. */
@@ -61,6 +62,7 @@
         this.metrics = metrics;
         this.loop = loop;
         this.endpoints = endpoints;
+        log = new RequestLog(loop);
         driver = new BalancerDriver(loop::now);
         actions = new BalancerActionExecutor(loop, endpoints, metrics, driver, requests);
         applyTimeouts(settings);
@@ -87,6 +89,12 @@
         driver.deliver((events, now) -> balancer.applySettings(now, settings));
     }
 
+    /** To be called if the only endpoint is this process itself: its failures are not logged. */
+    public void useForLoopback() {
+        endpoints.useForLoopback();
+        log.disable();
+    }
+
     /** Sets the source from which the balancer watches and fetches the endpoint list. */
     public void setDiscovery(EndpointListSource discovery) {
         actions.setDiscovery(discovery);
@@ -210,6 +218,10 @@
         return loop;
     }
 
+    RequestLog log() {
+        return log;
+    }
+
     BalancerDriver driver() {
         return driver;
     }
