Add a failing soak: stray responses are taken for those of other requests

The test: the real program and six scripted servers, 2.5 s a scenario; a fifth of whole responses is followed by a stray one on its connection. One request in twenty is truly turned away, so that repeats that are allowed go on.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Development tasks; the commands that the platform runs are in deploy/balancer.toml.
-.PHONY: build test soak lint format run platform bench isolation jmh clean
+.PHONY: build test soak soak-responses lint format run platform bench isolation jmh clean
 
 MVN = mvn
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
@@ -21,6 +21,10 @@
 soak:
 	$(MVN) -q -pl daemon -am test -Dtest=ShutdownSoakTest\#nothingIsLostUnderAnySeed -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
 
+# Servers that send responses without a request, several runs per seed; prints each violated rule.
+soak-responses:
+	$(MVN) -q -pl daemon -am test -Dtest=StrayResponseSoakTest -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
+
 # Formats all sources (google-java-format, AOSP style).
 format:
 	$(MVN) -q spotless:apply
