Let a connection rest for 100 ms after a response before it carries a request

Cause: HTTP/1.1 pairs responses with requests by place alone. ConnectionPool.preferredIdle fell back to a connection that had not settled, and 10 ms was less than a surplus response may need; it was then taken for the response to the next request, and the true one for that of the request after it.

Responses came on connections idle for 0.8 to 40 ms, by the log of the attempts.

Change: a connection that has carried a request is never used within ReuseDelay (100 ms) of its last response; another one is opened. A connection that has carried none is used at once, and so are those of the warm-up to the node itself. Why this works: what arrives while a connection idles closes it, so a surplus response has 100 ms to show itself.

A surplus response after more than 100 ms is still open.

--- a/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
@@ -28,9 +28,6 @@
 
     private static final long MIN_SWEEP_INTERVAL_NS = 10_000_000L;
 
-    /** A surplus second response to the connection's last request arrives within this time. */
-    private static final long SETTLE_TIME_NS = 10_000_000L;
-
     /** A connection that carries no request. */
     static final class IdleConnection {
         private final PooledEndpoint endpoint;
@@ -45,6 +42,7 @@
     private final EventLoop loop;
     private final ConnectionLimit limit;
     private final CpuAccount account;
+    private final ReuseDelay reuseDelay = new ReuseDelay();
     private long connectTimeoutNs;
 
     /** How long an idle connection is kept. */
@@ -114,9 +112,17 @@
         return endpoint.acceptsRequests(now, drainGraceNs) && (isHealthCheck || now < listLeaseEnd);
     }
 
-    /** Takes an idle connection to the endpoint out of the pool; returns null if there is none. */
+    /** Makes connections reusable as soon as their response is complete. */
+    void reuseAtOnce() {
+        reuseDelay.disable();
+    }
+
+    /**
+     * Takes an idle connection to the endpoint out of the pool; returns null if there is none that
+     * may carry a request now.
+     */
     HttpConnection takeIdle(PooledEndpoint endpoint) {
-        IdleConnection next = preferredIdle(endpoint);
+        IdleConnection next = lastUsedReusable(endpoint);
         while (next != null) {
             remove(next);
             if (isExpired(next)) {
@@ -125,26 +131,22 @@
             } else if (next.connection.readAndCheckIdle()) {
                 return next.connection;
             }
-            next = preferredIdle(endpoint);
+            next = lastUsedReusable(endpoint);
         }
         return null;
     }
 
-    /**
-     * Returns the connection used last among those idle for at least {@link #SETTLE_TIME_NS}, or
-     * else the one that is idle longest, or null. Prevents a surplus second response to one request
-     * from being taken for the response to the next.
-     */
-    private IdleConnection preferredIdle(PooledEndpoint endpoint) {
-        long settledSince = loop.now() - SETTLE_TIME_NS;
+    /** Returns the connection used last among those that may carry a request now, or null. */
+    private IdleConnection lastUsedReusable(PooledEndpoint endpoint) {
+        long idleSince = loop.now() - reuseDelay.ns();
         Iterator<IdleConnection> lastFirst = endpoint.idleConnections.descendingIterator();
         while (lastFirst.hasNext()) {
             IdleConnection next = lastFirst.next();
-            if (next.connection.idleSince() <= settledSince) {
+            if (next.connection.isUnused() || next.connection.idleSince() <= idleSince) {
                 return next;
             }
         }
-        return endpoint.idleConnections.peekFirst();
+        return null;
     }
 
     /**
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
@@ -47,9 +47,13 @@
                 new ConnectionPool(loop, connectTimeoutNs, idleNs, drainGraceNs, limit, account);
     }
 
-    /** To be called if the only endpoint is this process itself: its failures are not logged. */
+    /**
+     * To be called if the only endpoint is this process itself: its failures are not logged, and
+     * its connections are reused at once, as no surplus response can follow.
+     */
     public void useForLoopback() {
         log.disable();
+        connections.reuseAtOnce();
     }
 
     /** Changes the timeouts, which are explained at the constructor. */
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -34,6 +34,9 @@
 
     private boolean open = true;
 
+    /** Whether no request was sent yet. */
+    private boolean unused = true;
+
     /** When the connection was established, or its last response was complete. */
     private long idleSince;
 
@@ -78,9 +81,9 @@
             boolean isHeadRequest,
             ResponseListener responseListener) {
         writer.setRequest(request, body);
-        listener = responseListener;
-        decoder = new ResponseDecoder(responseListener, maxBodyBytes, isHeadRequest);
-        writer.write();
+        startExchange(
+                responseListener,
+                new ResponseDecoder(responseListener, maxBodyBytes, isHeadRequest));
     }
 
     /** Sends a request, as above, whose body is streamed. */
@@ -90,8 +93,13 @@
             long maxBodyBytes,
             ResponseListener responseListener) {
         writer.setRequest(request, body);
+        startExchange(responseListener, new ResponseDecoder(responseListener, maxBodyBytes));
+    }
+
+    private void startExchange(ResponseListener responseListener, ResponseDecoder newDecoder) {
+        unused = false;
         listener = responseListener;
-        decoder = new ResponseDecoder(responseListener, maxBodyBytes);
+        decoder = newDecoder;
         writer.write();
     }
 
@@ -125,6 +133,11 @@
         return open && decoder == null;
     }
 
+    /** Returns whether no request has been sent on the connection yet. */
+    public boolean isUnused() {
+        return unused;
+    }
+
     /**
      * Returns since when the connection has carried no request, by {@link EventLoop#now}. Undefined
      * while it carries a request.
