Give an endpoint that sent surplus bytes one request a connection, proven by its end

A rest alone leaves what comes after it: a server that answers out of turn once does so again, later.

Cause: surplus bytes closed their connection, and nothing else was concluded from them. The other connections to the same endpoint, and its word that a request never ran, were believed as before.

Change: a connection reports surplus bytes (ConnectionListener, Surplus). For 60 s after them each connection to that endpoint carries one request with Connection: close, and its response is complete only with the end of the connection: exactly one response came. A rejection that was under way on one of its other connections counts as an error (it may have run). A log line and the counter trailthread_worker_surplus_responses_total by worker tell of it.

Why this works: the end of the connection proves the pairing, whatever the delay of the strays. Two responses fail the attempt.

Result: ResponsePairingTest, three new cases, failed before (OK or REJECTED where nothing proved it). The test kit's servers end their sending where a request says Connection: close, as RFC 9112 (9.6) asks. CorruptResponseTest starts each case with a new server, as the first case now changes how the node treats it; it checks the same.

--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -73,6 +73,7 @@
                         ConnectionLimit.of(descriptors.forEndpoints()),
                         config.settings().latencyResolutionNs(),
                         CpuAccount.NONE);
+        endpoints.setSurplusListener(metrics::surplusReceived);
         requests =
                 new RequestDispatcher(loop, endpoints, config.settings(), config.seed(), metrics);
         endpointList =
--- a/daemon/src/main/java/trailthread/daemon/admin/EndpointMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/EndpointMetrics.java
@@ -29,6 +29,9 @@
 
     long failures;
 
+    /** How often the endpoint sent bytes that are no part of the response to any request. */
+    long surplus;
+
     /** Smoothed share of failures among {@link #attempts}. */
     double failureRatio;
 
@@ -49,6 +52,7 @@
         inFlight = other.inFlight;
         attempts = other.attempts;
         failures = other.failures;
+        surplus = other.surplus;
         failureRatio = other.failureRatio;
         latencySeconds = other.latencySeconds;
         queue = other.queue;
--- a/daemon/src/main/java/trailthread/daemon/admin/Exposition.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/Exposition.java
@@ -189,6 +189,11 @@
                 "Smoothed share of attempts that failed.",
                 fleet.worstEndpoints(),
                 endpoint -> endpoint.failureRatio);
+        families.endpointCounters(
+                "trailthread_worker_surplus_responses",
+                "Connections closed because the endpoint sent bytes that no request asked for.",
+                fleet.worstEndpoints(),
+                endpoint -> endpoint.surplus);
         EndpointTotals others = fleet.otherEndpoints();
         families.gauge(
                 "trailthread_other_workers",
--- a/daemon/src/main/java/trailthread/daemon/admin/MetricFamilies.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/MetricFamilies.java
@@ -84,6 +84,20 @@
         families.add(gauge.build());
     }
 
+    /** Adds a counter with a value for each endpoint. */
+    void endpointCounters(
+            String name,
+            String help,
+            Collection<EndpointMetrics> endpoints,
+            ToDoubleFunction<EndpointMetrics> metric) {
+        CounterSnapshot.Builder counter = counter(name, help);
+        for (EndpointMetrics endpoint : endpoints) {
+            counter.dataPoint(
+                    counterPoint(metric.applyAsDouble(endpoint), Labels.of("worker", endpoint.id)));
+        }
+        families.add(counter.build());
+    }
+
     /** Adds a counter without labels, unless its value is NaN. */
     void counterIfKnown(String name, String help, double value) {
         if (!Double.isNaN(value)) {
--- a/daemon/src/main/java/trailthread/daemon/admin/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/NodeMetrics.java
@@ -100,6 +100,14 @@
         }
     }
 
+    @Override
+    public void surplusReceived(String endpoint) {
+        EndpointMetrics metrics = endpoints.get(endpoint);
+        if (metrics != null) {
+            metrics.surplus++;
+        }
+    }
+
     @Override
     public void healthChecked(String endpoint, Outcome outcome, LoadReport load) {
         healthChecks.increment(outcome);
--- a/daemon/src/test/java/trailthread/daemon/CorruptResponseTest.java
+++ b/daemon/src/test/java/trailthread/daemon/CorruptResponseTest.java
@@ -63,15 +63,17 @@
     @Test
     public void bytesAfterAResponseNeverReachTheNextRequest() throws Exception {
         String[] surplusBytes = {MADE.replace("made", "copy"), "noise", "\r\n"};
-        ScriptedServer endpoint = cluster.closeAtEnd(ScriptedServer.respondingWith("made"));
-        cluster.start(TestCluster.SETTINGS, endpoint);
         for (String surplus : surplusBytes) {
+            ScriptedServer endpoint = cluster.closeAtEnd(ScriptedServer.respondingWith("made"));
+            cluster.start(TestCluster.SETTINGS, endpoint);
             endpoint.setScript(request -> Message.send(request.connection(), MADE + surplus));
             assertEquals("made", cluster.sendRequest("use").body());
             Socket corrupt = endpoint.takeRequest().connection();
             endpoint.setScript(request -> request.respond("200 OK", "", "next"));
             assertEquals("next", cluster.sendRequest("use").body());
             assertNotEquals(corrupt, endpoint.takeRequest().connection());
+            cluster.kill();
+            cluster.exitStatus();
         }
     }
 
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -60,6 +60,9 @@
 
     private boolean requestSent;
 
+    /** Whether the end of the connection proves the response. */
+    private boolean singleUse;
+
     /** How long the connection was idle before, or {@link EndpointLog#NEVER_IDLE}. */
     private long connectionIdleNs = EndpointLog.NEVER_IDLE;
 
@@ -144,6 +147,11 @@
         long timeLeftNs =
                 request.bodySource() == null ? timeoutAt - now : request.timeoutAfterBodyNs();
         RequestEncoder head = request.encoder(endpoint.hostPort, timeLeftNs);
+        singleUse = connections.isSingleUse(endpoint);
+        if (singleUse) {
+            head.header("Connection", "close");
+            target.requireEnd();
+        }
         if (request.bodySource() != null) {
             target.send(
                     head.encodeHead(request.bodySource().length()),
@@ -222,9 +230,23 @@
 
     @Override
     public void responseCompleted() {
+        Outcome outcome = provenOutcome();
         connections.release(endpoint, connection);
         connection = null;
-        endAttempt(response.outcome(), responseLatencyNs(), response.load());
+        endAttempt(outcome, responseLatencyNs(), response.load());
+    }
+
+    /**
+     * Returns the outcome as far as the response proves it. A rejection by an endpoint that has
+     * sent surplus responses may be one of these.
+     */
+    private Outcome provenOutcome() {
+        Outcome outcome = response.outcome();
+        if (outcome == Outcome.REJECTED && !singleUse && connections.isSingleUse(endpoint)) {
+            failureReason = "sends surplus responses, of which its rejection may be one";
+            return Outcome.ERROR;
+        }
+        return outcome;
     }
 
     /**
--- a/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
@@ -6,8 +6,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import trailthread.ListLease;
+import trailthread.engine.http.ConnectionListener;
 import trailthread.engine.http.HttpConnection;
 import trailthread.engine.http.HttpConnector;
+import trailthread.engine.http.Surplus;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
 
@@ -40,6 +42,7 @@
     }
 
     private final EventLoop loop;
+    private final EndpointLog log;
     private final ConnectionLimit limit;
     private final CpuAccount account;
     private final ReuseDelay reuseDelay = new ReuseDelay();
@@ -55,6 +58,9 @@
 
     private Runnable updateReader = () -> {};
 
+    /** Receives the id of each endpoint that has sent surplus bytes. */
+    private Consumer<String> surplusListener = endpoint -> {};
+
     /** The idle connections of all endpoints, the one that is idle longest first. */
     private final Set<IdleConnection> idle = new LinkedHashSet<>();
 
@@ -65,12 +71,14 @@
 
     ConnectionPool(
             EventLoop loop,
+            EndpointLog log,
             long connectTimeoutNs,
             long endpointIdleNs,
             long drainGraceNs,
             ConnectionLimit limit,
             CpuAccount account) {
         this.loop = loop;
+        this.log = log;
         this.limit = limit;
         this.account = account;
         setTimeouts(connectTimeoutNs, endpointIdleNs, drainGraceNs);
@@ -96,6 +104,11 @@
         listLeaseEnd = until;
     }
 
+    /** Sets a listener for the ids of endpoints that send surplus bytes. */
+    void setSurplusListener(Consumer<String> listener) {
+        surplusListener = listener;
+    }
+
     /** Sets a task that reads the updates of the endpoint list that have arrived. */
     void setUpdateReader(Runnable reader) {
         updateReader = reader;
@@ -122,6 +135,9 @@
      * may carry a request now.
      */
     HttpConnection takeIdle(PooledEndpoint endpoint) {
+        if (isSingleUse(endpoint)) {
+            return null;
+        }
         IdleConnection next = lastUsedReusable(endpoint);
         while (next != null) {
             remove(next);
@@ -136,9 +152,15 @@
         return null;
     }
 
+    /** Returns whether the endpoint's connections carry one request only for now. */
+    boolean isSingleUse(PooledEndpoint endpoint) {
+        return endpoint.isSingleUse(loop.now());
+    }
+
     /** Returns the connection used last among those that may carry a request now, or null. */
     private IdleConnection lastUsedReusable(PooledEndpoint endpoint) {
-        long idleSince = loop.now() - reuseDelay.ns();
+        long now = loop.now();
+        long idleSince = now - reuseDelay.ns(now);
         Iterator<IdleConnection> lastFirst = endpoint.idleConnections.descendingIterator();
         while (lastFirst.hasNext()) {
             IdleConnection next = lastFirst.next();
@@ -167,7 +189,7 @@
                         loop,
                         endpoint.address,
                         account,
-                        this::connectionClosed,
+                        new PooledConnectionListener(endpoint),
                         connection -> {
                             if (connection == null) {
                                 connectionClosed();
@@ -197,9 +219,38 @@
         limit.release();
     }
 
+    /** Receives the events of one connection. */
+    private final class PooledConnectionListener implements ConnectionListener {
+        private final PooledEndpoint endpoint;
+
+        PooledConnectionListener(PooledEndpoint endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        @Override
+        public void closed() {
+            connectionClosed();
+        }
+
+        @Override
+        public void surplusReceived(Surplus surplus) {
+            handleSurplus(endpoint, surplus);
+        }
+    }
+
+    /** Trusts no other connection to the endpoint either, and lets all connections rest longer. */
+    private void handleSurplus(PooledEndpoint endpoint, Surplus surplus) {
+        long now = loop.now();
+        reuseDelay.surplusReceived(now, surplus.afterNs());
+        endpoint.surplusReceived(now);
+        closeIdle(endpoint);
+        log.surplusReceived(endpoint.instanceId, surplus, reuseDelay.ns(now));
+        surplusListener.accept(endpoint.instanceId);
+    }
+
     /** Returns a connection to the pool, or closes it if it cannot or must not be kept idle. */
     void release(PooledEndpoint endpoint, HttpConnection connection) {
-        if (!endpoint.listed || !limit.mayKeepIdle()) {
+        if (!endpoint.listed || !limit.mayKeepIdle() || isSingleUse(endpoint)) {
             connection.close();
         }
         if (!connection.isIdle()) {
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointLog.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointLog.java
@@ -3,13 +3,18 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import trailthread.api.Outcome;
+import trailthread.engine.http.Surplus;
 import trailthread.engine.loop.EventLoop;
 import trailthread.engine.metrics.LogRateLimiter;
 
-/** Logs the attempts that were not served, with the reason of each, a bounded number per second. */
+/**
+ * Logs the attempts that were not served, with the reason of each, and surplus bytes from
+ * endpoints; a bounded number of lines per second.
+ */
 final class EndpointLog {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointLog.class);
     private static final int ATTEMPTS_PER_SECOND = 10;
+    private static final int SURPLUS_PER_SECOND = 10;
     private static final double NS_PER_MS = 1e6;
 
     /** The idle time of a connection that was opened for the attempt, or of no connection. */
@@ -17,6 +22,7 @@
 
     private final EventLoop loop;
     private final LogRateLimiter attempts = new LogRateLimiter(ATTEMPTS_PER_SECOND);
+    private final LogRateLimiter surplus = new LogRateLimiter(SURPLUS_PER_SECOND);
     private boolean enabled = true;
 
     EndpointLog(EventLoop loop) {
@@ -56,11 +62,30 @@
                 milliseconds(elapsedNs),
                 sent ? "sent" : "not sent",
                 idleNs == NEVER_IDLE ? "new" : "idle for " + milliseconds(idleNs) + " ms before",
-                suppressedNote());
+                suppressedNote(attempts));
     }
 
-    private String suppressedNote() {
-        long suppressed = attempts.takeSuppressed();
+    /**
+     * Logs that an endpoint has sent bytes that are no part of a response to any request.
+     *
+     * @param reuseDelayNs how long all connections rest from now on
+     */
+    void surplusReceived(String endpoint, Surplus received, long reuseDelayNs) {
+        if (!enabled || !surplus.tryAcquire(loop.now())) {
+            return;
+        }
+        LOG.warn(
+                "{} has sent {} {} ms after a response: its connections carry one request each,"
+                        + " others rest for {} ms{}",
+                endpoint,
+                received.startsResponse() ? "a response to no request" : "surplus bytes",
+                milliseconds(received.afterNs()),
+                milliseconds(reuseDelayNs),
+                suppressedNote(surplus));
+    }
+
+    private static String suppressedNote(LogRateLimiter limiter) {
+        long suppressed = limiter.takeSuppressed();
         return suppressed == 0 ? "" : "; " + suppressed + " such lines left out before";
     }
 
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
@@ -44,7 +44,8 @@
         this.latencyToleranceNs = latencyToleranceNs;
         this.account = account;
         this.connections =
-                new ConnectionPool(loop, connectTimeoutNs, idleNs, drainGraceNs, limit, account);
+                new ConnectionPool(
+                        loop, log, connectTimeoutNs, idleNs, drainGraceNs, limit, account);
     }
 
     /**
@@ -131,6 +132,14 @@
         connections.setUpdateReader(reader);
     }
 
+    /**
+     * Sets a listener for the ids of endpoints that send bytes that are no part of the response to
+     * any request; called once for each connection that is closed for it.
+     */
+    public void setSurplusListener(Consumer<String> listener) {
+        connections.setSurplusListener(listener);
+    }
+
     /** Returns the number of connections by state, "idle" or "busy". */
     public Map<String, Integer> connections() {
         return connections.countByState();
--- a/engine/src/main/java/trailthread/engine/endpoint/PooledEndpoint.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/PooledEndpoint.java
@@ -8,6 +8,9 @@
 final class PooledEndpoint {
     private static final long NOT_DRAINING = 0;
 
+    /** How long after surplus bytes each connection to the endpoint carries one request only. */
+    private static final long SINGLE_USE_NS = 60_000_000_000L;
+
     final String instanceId;
     final String hostPort;
     final InetSocketAddress address;
@@ -23,6 +26,9 @@
     /** When the node learned that the endpoint is draining or gone, or {@link #NOT_DRAINING}. */
     private long drainingSince = NOT_DRAINING;
 
+    /** Until when each connection to the endpoint carries one request only. */
+    private long singleUseUntil = Long.MIN_VALUE;
+
     /**
      * @param hostPort address:port
      * @param latencyToleranceNs differences in latency up to this are ignored, in nanoseconds
@@ -50,4 +56,17 @@
     boolean acceptsRequests(long now, long drainGraceNs) {
         return drainingSince == NOT_DRAINING || now - drainingSince < drainGraceNs;
     }
+
+    /** Records that the endpoint has sent surplus bytes. */
+    void surplusReceived(long now) {
+        singleUseUntil = now + SINGLE_USE_NS;
+    }
+
+    /**
+     * Returns whether each connection to the endpoint carries one request only, whose response is
+     * complete only with the end of the connection.
+     */
+    boolean isSingleUse(long now) {
+        return now < singleUseUntil;
+    }
 }
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -24,7 +24,7 @@
     private final StreamConnection connection;
     private final ConduitStreamSourceChannel source;
     private final RequestWriter writer;
-    private final Runnable onClose;
+    private final ConnectionListener connectionListener;
 
     /** Null while no request is in progress. */
     private ResponseListener listener;
@@ -40,14 +40,20 @@
     /** When the connection was established, or its last response was complete. */
     private long idleSince;
 
+    /** Whether a response is complete only with the end of the connection. */
+    private boolean endRequired;
+
     /** Whether reading is suspended, as the listener has no capacity. */
     private boolean paused;
 
     HttpConnection(
-            EventLoop loop, StreamConnection connection, CpuAccount account, Runnable onClose) {
+            EventLoop loop,
+            StreamConnection connection,
+            CpuAccount account,
+            ConnectionListener connectionListener) {
         this.loop = loop;
         this.connection = connection;
-        this.onClose = onClose;
+        this.connectionListener = connectionListener;
         idleSince = loop.now();
         source = connection.getSourceChannel();
         source.setReadListener(
@@ -103,6 +109,15 @@
         writer.write();
     }
 
+    /**
+     * Makes the next response count as complete only once the server has ended the connection,
+     * which proves that no other response precedes or follows it. The request has to ask for that
+     * end with the header {@code Connection: close}.
+     */
+    public void requireEnd() {
+        endRequired = true;
+    }
+
     /** Stops reading until {@link #resume}; bytes already read are still passed to the listener. */
     public void pause() {
         paused = true;
@@ -162,7 +177,7 @@
         if (open) {
             open = false;
             IoUtils.safeClose(connection);
-            onClose.run();
+            connectionListener.closed();
         }
     }
 
@@ -180,16 +195,17 @@
                 if (count == 0) {
                     return;
                 }
-                if (decoder == null) {
-                    close(); // surplus bytes or the end of the connection, while no response is due
-                    return;
-                }
                 if (count < 0) {
                     handleConnectionEnd();
                     return;
                 }
                 boolean mayHoldMore = !buffer.hasRemaining();
                 buffer.flip();
+                if (decoder == null) {
+                    reportSurplus(buffer);
+                    close();
+                    return;
+                }
                 decode(buffer);
                 if (!mayHoldMore) {
                     return; // the selector reports what arrives later
@@ -202,7 +218,9 @@
     }
 
     private void handleConnectionEnd() {
-        if (decoder.connectionEnded()) {
+        if (decoder == null) {
+            close();
+        } else if (decoder.connectionEnded()) {
             completeAndClose();
         } else {
             fail("ends the connection before the response is complete");
@@ -211,6 +229,7 @@
 
     private void decode(ByteBuffer bytes) {
         ResponseDecoder current = decoder;
+        boolean wasComplete = current.isComplete();
         try {
             current.decode(bytes);
         } catch (MalformedResponseException e) {
@@ -219,22 +238,61 @@
         }
         // the listener may have closed the connection meanwhile
         if (decoder == current && current.isComplete()) {
-            boolean isReusable = current.isKeepAlive() && writer.isFinished();
-            if (isReusable && !bytes.hasRemaining()) {
-                completeAndBecomeIdle();
-            } else {
-                completeAndClose();
+            if (!wasComplete) {
+                idleSince = loop.now();
             }
+            handleCompleteResponse(bytes);
         }
     }
 
+    /**
+     * @param rest the bytes that follow the response
+     */
+    private void handleCompleteResponse(ByteBuffer rest) {
+        if (rest.hasRemaining()) {
+            handleSurplusAfterResponse(rest);
+        } else if (endRequired) {
+            return; // the end of the connection is still to be read
+        } else if (decoder.isKeepAlive() && writer.isFinished()) {
+            completeAndBecomeIdle();
+        } else {
+            completeAndClose();
+        }
+    }
+
+    private void handleSurplusAfterResponse(ByteBuffer rest) {
+        boolean isAmbiguous = endRequired;
+        reportSurplus(rest);
+        if (isAmbiguous) {
+            fail("sends more than one response");
+        } else {
+            completeAndClose();
+        }
+    }
+
+    private void reportSurplus(ByteBuffer bytes) {
+        connectionListener.surplusReceived(
+                new Surplus(loop.now() - idleSince, startsResponse(bytes)));
+    }
+
+    /** Returns whether the bytes may be the start of a response. */
+    private static boolean startsResponse(ByteBuffer bytes) {
+        String prefix = ResponseSyntax.VERSION_PREFIX;
+        int count = Math.min(prefix.length(), bytes.remaining());
+        for (int i = 0; i < count; i++) {
+            if (bytes.get(bytes.position() + i) != prefix.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Handles the end of a response after which the connection can carry another request. */
     private void completeAndBecomeIdle() {
         ResponseListener notified = listener;
         listener = null;
         decoder = null;
         writer.responseCompleted();
-        idleSince = loop.now();
         resume();
         notified.responseCompleted();
     }
--- a/engine/src/main/java/trailthread/engine/http/HttpConnector.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnector.java
@@ -18,16 +18,19 @@
 
     private final EventLoop loop;
     private final CpuAccount account;
-    private final Runnable onClose;
+    private final ConnectionListener listener;
     private final Consumer<HttpConnection> onOpen;
 
     private final AtomicBoolean completedOrCancelled = new AtomicBoolean();
 
     private HttpConnector(
-            EventLoop loop, CpuAccount account, Runnable onClose, Consumer<HttpConnection> onOpen) {
+            EventLoop loop,
+            CpuAccount account,
+            ConnectionListener listener,
+            Consumer<HttpConnection> onOpen) {
         this.loop = loop;
         this.account = account;
-        this.onClose = onClose;
+        this.listener = listener;
         this.onOpen = onOpen;
     }
 
@@ -35,7 +38,7 @@
      * Opens a connection.
      *
      * @param account is charged with the time spent on reading the connection
-     * @param onClose runs once, when an established connection is closed
+     * @param listener receives the events of an established connection
      * @param onOpen receives the connection, or null if it could not be established; never from
      *     within this call
      * @return cancels the connect and releases its file descriptor; {@code onOpen} is not called
@@ -45,13 +48,13 @@
             EventLoop loop,
             InetSocketAddress server,
             CpuAccount account,
-            Runnable onClose,
+            ConnectionListener listener,
             Consumer<HttpConnection> onOpen) {
         if (server.isUnresolved()) {
             loop.execute(() -> onOpen.accept(null));
             return () -> {};
         }
-        HttpConnector connector = new HttpConnector(loop, account, onClose, onOpen);
+        HttpConnector connector = new HttpConnector(loop, account, listener, onOpen);
         IoFuture<StreamConnection> connect = loop.thread().openStreamConnection(server, null, TCP);
         connect.addNotifier(
                 (done, none) -> loop.execute(() -> connector.connectCompleted(done)), null);
@@ -65,7 +68,7 @@
         } else if (connection == null) {
             onOpen.accept(null);
         } else {
-            onOpen.accept(new HttpConnection(loop, connection, account, onClose));
+            onOpen.accept(new HttpConnection(loop, connection, account, listener));
         }
     }
 
--- a/engine/src/main/java/trailthread/engine/metrics/ForwardingMetricsRecorder.java
+++ b/engine/src/main/java/trailthread/engine/metrics/ForwardingMetricsRecorder.java
@@ -56,6 +56,11 @@
         recorder.attemptEnded(endpoint, outcome, latencyNs, load);
     }
 
+    @Override
+    public void surplusReceived(String endpoint) {
+        recorder.surplusReceived(endpoint);
+    }
+
     @Override
     public void healthChecked(String endpoint, Outcome outcome, LoadReport load) {
         recorder.healthChecked(endpoint, outcome, load);
--- a/engine/src/main/java/trailthread/engine/metrics/MetricsRecorder.java
+++ b/engine/src/main/java/trailthread/engine/metrics/MetricsRecorder.java
@@ -50,6 +50,12 @@
      */
     void attemptEnded(String endpoint, Outcome outcome, long latencyNs, LoadReport load);
 
+    /**
+     * An endpoint has sent bytes that are no part of the response to any request, for which the
+     * connection was closed.
+     */
+    void surplusReceived(String endpoint);
+
     /**
      * A health check has ended.
      *
--- a/engine/src/main/java/trailthread/engine/metrics/NoopMetricsRecorder.java
+++ b/engine/src/main/java/trailthread/engine/metrics/NoopMetricsRecorder.java
@@ -30,6 +30,9 @@
     @Override
     public void attemptEnded(String endpoint, Outcome outcome, long latencyNs, LoadReport load) {}
 
+    @Override
+    public void surplusReceived(String endpoint) {}
+
     @Override
     public void healthChecked(String endpoint, Outcome outcome, LoadReport load) {}
 
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -76,6 +76,7 @@
                         settings.latencyResolutionNs(),
                         this);
         metrics = new PoolMetrics(config.name(), recorder);
+        endpoints.setSurplusListener(metrics::surplusReceived);
         dispatcher = new RequestDispatcher(loop, endpoints, settings, seed, metrics);
         dispatcher.setAdmission((requestClass, overQuota, random) -> withinQuota);
         endpointListSource = createListSource(config.source());
--- a/engine/src/main/java/trailthread/engine/pool/PoolMetrics.java
+++ b/engine/src/main/java/trailthread/engine/pool/PoolMetrics.java
@@ -54,6 +54,11 @@
         super.attemptEnded(prefix + endpoint, outcome, latencyNs, load);
     }
 
+    @Override
+    public void surplusReceived(String endpoint) {
+        super.surplusReceived(prefix + endpoint);
+    }
+
     @Override
     public void healthChecked(String endpoint, Outcome outcome, LoadReport load) {
         super.healthChecked(prefix + endpoint, outcome, load);
--- a/engine/src/test/java/trailthread/engine/endpoint/EndpointFixture.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/EndpointFixture.java
@@ -64,11 +64,24 @@
         attempt(id, BODY_BYTES);
     }
 
+    /** Starts an attempt, and runs a task on the loop right after its start. */
+    void attempt(String id, Runnable next) {
+        loop.execute(
+                () -> {
+                    startAttempt(id, BODY_BYTES);
+                    loop.execute(next);
+                });
+    }
+
     /** Starts an attempt with a body of this length. */
     void attempt(String id, int bodyBytes) {
+        loop.execute(() -> startAttempt(id, bodyBytes));
+    }
+
+    private void startAttempt(String id, int bodyBytes) {
         EndpointRequest request =
                 new EndpointRequest(id, "use", "POST", "/use", null, new byte[bodyBytes], null);
-        loop.execute(() -> endpoints.attempt(ENDPOINT, request, LONG_NS, results::add));
+        endpoints.attempt(ENDPOINT, request, LONG_NS, results::add);
     }
 
     AttemptResult nextResult() throws InterruptedException {
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -17,6 +17,8 @@
 public class ResponsePairingTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade";
     private static final String COPY = OK.replace("made", "copy");
+    private static final String REJECTION =
+            "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 
     private final EndpointFixture fixture = new EndpointFixture();
     private final List<Socket> connections = new ArrayList<>();
@@ -68,11 +70,64 @@
         long respondedAt = System.nanoTime();
         EndpointFixture.write(first, OK);
         assertEquals("made", nextBody());
-        TimeUnit.NANOSECONDS.sleep(new ReuseDelay().ns());
+        TimeUnit.NANOSECONDS.sleep(ReuseDelay.DEFAULT_NS);
         fixture.attempt("2");
         assertTrue(EndpointFixture.readRequest(first).contains("X-Correlation-Id: 2\r\n"));
-        assertTrue(System.nanoTime() - respondedAt >= new ReuseDelay().ns());
+        assertTrue(System.nanoTime() - respondedAt >= ReuseDelay.DEFAULT_NS);
         EndpointFixture.write(first, OK);
         assertEquals("made", nextBody());
     }
+
+    /** Makes the endpoint send a second response to the request with id 1. */
+    private void sendSurplusResponse() throws Exception {
+        fixture.attempt("1");
+        Socket connection = accept();
+        EndpointFixture.readRequest(connection);
+        EndpointFixture.write(connection, OK);
+        assertEquals("made", nextBody());
+        EndpointFixture.write(connection, COPY);
+        assertEquals(-1, connection.getInputStream().read());
+    }
+
+    /** Guards against further surplus responses of the same endpoint. */
+    @Test
+    public void afterASurplusResponseEachConnectionCarriesOneRequest() throws Exception {
+        sendSurplusResponse();
+        for (String id : new String[] {"2", "3"}) {
+            fixture.attempt(id);
+            Socket connection = accept();
+            String request = EndpointFixture.readRequest(connection);
+            assertTrue(request.contains("X-Correlation-Id: " + id + "\r\n"));
+            assertTrue(request.contains("Connection: close\r\n"));
+            EndpointFixture.write(connection, OK);
+            connection.shutdownOutput();
+            assertEquals("made", nextBody());
+        }
+    }
+
+    /** Guards against a rejection or a body that the endpoint sent for no request. */
+    @Test
+    public void afterASurplusResponseOnlyTheOneBeforeTheEndCounts() throws Exception {
+        sendSurplusResponse();
+        for (String surplus : new String[] {REJECTION, COPY}) {
+            fixture.attempt("2");
+            Socket connection = accept();
+            EndpointFixture.readRequest(connection);
+            EndpointFixture.write(connection, surplus);
+            TimeUnit.MILLISECONDS.sleep(50); // so that the second response is read by itself
+            EndpointFixture.write(connection, OK);
+            assertEquals(Outcome.RESET, fixture.nextResult().outcome());
+        }
+    }
+
+    /** Guards against a repeat of a request that ran while the endpoint sent surplus responses. */
+    @Test
+    public void aRejectionBesideASurplusResponseMayBeAnotherRequests() throws Exception {
+        fixture.attempt("0");
+        Socket earlier = accept();
+        EndpointFixture.readRequest(earlier);
+        sendSurplusResponse();
+        EndpointFixture.write(earlier, REJECTION);
+        assertEquals(Outcome.ERROR, fixture.nextResult().outcome());
+    }
 }
--- a/testkit/src/main/java/trailthread/testkit/Message.java
+++ b/testkit/src/main/java/trailthread/testkit/Message.java
@@ -94,7 +94,8 @@
     }
 
     /**
-     * Responds to this request, on its connection.
+     * Responds to this request, on its connection, and ends its sending there if the request asks
+     * for that.
      *
      * @param status the code and reason, such as {@code 200 OK}
      * @param headers each with its line end
@@ -110,6 +111,9 @@
                         + headers
                         + "\r\n"
                         + body);
+        if ("close".equalsIgnoreCase(header("Connection"))) {
+            connection.shutdownOutput();
+        }
     }
 
     /** Sends text, as ISO 8859-1. */
