Fail an attempt that gets two responses at once: either may be another request's

Cause: where a second response lay behind the first in one read, the first was believed. A stray one that came before the true one, read together by a late loop, was served.

Change: if the surplus may be the start of a response, the attempt ends as a broken connection (it may have run); other surplus bytes can be no response, and the first one counts.

Result: ResponsePairingTest.twoResponsesAtOnceFailTheAttempt failed before (REJECTED, which let the request run again).

--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -14,7 +14,8 @@
  *
  * <p>The connection is read at all times. Anything that arrives while no response is due closes it:
  * the rest of a malformed response, a surplus second response, or the end of the connection. So
- * none of these is ever taken for the response to the next request.
+ * none of these is ever taken for the response to the next request. A response that another one
+ * follows at once has failed, as either may be that of the request.
  *
  * <p>Built on XNIO, as Undertow's client does not read between requests, and can neither cancel a
  * connect nor close a connection before its request has been written.
@@ -261,7 +262,7 @@
     }
 
     private void handleSurplusAfterResponse(ByteBuffer rest) {
-        boolean isAmbiguous = endRequired;
+        boolean isAmbiguous = endRequired || startsResponse(rest);
         reportSurplus(rest);
         if (isAmbiguous) {
             fail("sends more than one response");
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -78,6 +78,17 @@
         assertEquals("made", nextBody());
     }
 
+    /** Guards against either of two responses that is taken for the request's. */
+    @Test
+    public void twoResponsesAtOnceFailTheAttempt() throws Exception {
+        fixture.attempt("1");
+        Socket connection = accept();
+        EndpointFixture.readRequest(connection);
+        EndpointFixture.write(connection, REJECTION + OK);
+        assertEquals(Outcome.RESET, fixture.nextResult().outcome());
+        assertEquals(-1, connection.getInputStream().read());
+    }
+
     /** Makes the endpoint send a second response to the request with id 1. */
     private void sendSurplusResponse() throws Exception {
         fixture.attempt("1");
