Close the connection of an attempt that was not served before a retry

Cause: AttemptExchange returned the connection to the pool after any whole response. If that was a stray 503 or 500, the server was still at work on the request, on an open connection, while the next attempt began.

Change: only a success keeps its connection. After any other outcome it is closed before the balancer hears of it, so that nothing of the attempt is out beside a retry, whatever the response was worth.

Result: ResponsePairingTest.aRejectionClosesItsConnection failed before (the connection stayed open).

--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -231,8 +231,11 @@
     @Override
     public void responseCompleted() {
         Outcome outcome = provenOutcome();
-        connections.release(endpoint, connection);
-        connection = null;
+        if (outcome == Outcome.OK) {
+            connections.release(endpoint, connection);
+            connection = null;
+        }
+        // any other connection is closed: nothing of this attempt may be out beside a retry
         endAttempt(outcome, responseLatencyNs(), response.load());
     }
 
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -78,6 +78,17 @@
         assertEquals("made", nextBody());
     }
 
+    /** Guards against a retry beside an attempt whose rejection was another request's. */
+    @Test
+    public void aRejectionClosesItsConnection() throws Exception {
+        fixture.attempt("1");
+        Socket connection = accept();
+        EndpointFixture.readRequest(connection);
+        EndpointFixture.write(connection, REJECTION);
+        assertEquals(Outcome.REJECTED, fixture.nextResult().outcome());
+        assertEquals(-1, connection.getInputStream().read());
+    }
+
     /** Guards against either of two responses that is taken for the request's. */
     @Test
     public void twoResponsesAtOnceFailTheAttempt() throws Exception {
