Read a new connection before the first request is written to it

What callers might see: a response sent on a new connection to nobody, taken for the first request's.

Cause: idle connections were read before each write, new ones were not. Discovery's connections were not either; there a response to nobody would have been read as the list.

Change: bytes or an end on a new connection end the attempt as one that could not connect (nothing was written); at discovery the call fails, and does not count as proof that discovery is down, which would renew the lease on the list.

Discovery's side has no test of its own.

--- a/engine/src/main/java/trailthread/engine/discovery/DiscoveryExchange.java
+++ b/engine/src/main/java/trailthread/engine/discovery/DiscoveryExchange.java
@@ -7,10 +7,12 @@
 import java.nio.ByteBuffer;
 import org.xnio.XnioExecutor;
 import trailthread.ListLease;
+import trailthread.engine.http.ConnectionListener;
 import trailthread.engine.http.HttpConnection;
 import trailthread.engine.http.HttpConnector;
 import trailthread.engine.http.RequestEncoder;
 import trailthread.engine.http.ResponseListener;
+import trailthread.engine.http.Surplus;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
 
@@ -98,6 +100,8 @@
      */
     private boolean timedOutAfterConnect;
 
+    private boolean surplusReceived;
+
     private long lastReadAt = NEVER_READ;
 
     /** When the first bytes of the incomplete object were read. */
@@ -125,7 +129,22 @@
         restartTimeout(CONNECT_TIMEOUT_NS);
         cancelConnect =
                 HttpConnector.open(
-                        loop, address, CpuAccount.NONE, () -> {}, this::connectCompleted);
+                        loop,
+                        address,
+                        CpuAccount.NONE,
+                        new SurplusRecorder(),
+                        this::connectCompleted);
+    }
+
+    /** Records that discovery has sent bytes before the request, so that it is serving. */
+    private final class SurplusRecorder implements ConnectionListener {
+        @Override
+        public void closed() {}
+
+        @Override
+        public void surplusReceived(Surplus surplus) {
+            surplusReceived = true;
+        }
     }
 
     /**
@@ -139,6 +158,10 @@
             fail("cannot be reached");
             return;
         }
+        if (!opened.readAndCheckIdle()) {
+            fail("sends bytes before any request, or ends the connection");
+            return;
+        }
         connection = opened;
         sentAt = loop.now();
         restartTimeout(RESPONSE_TIMEOUT_NS);
@@ -188,10 +211,11 @@
 
     /**
      * Returns whether the failure of the exchange proves that discovery was not serving: it did not
-     * accept the request, and the exchange did not time out while the request may have been queued.
+     * accept the request, it sent no bytes before the request, and the exchange did not time out
+     * while the request may have been queued.
      */
     boolean provesNotServing() {
-        return !accepted && !timedOutAfterConnect;
+        return !accepted && !timedOutAfterConnect && !surplusReceived;
     }
 
     /**
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -126,6 +126,9 @@
         connectTimer.remove();
         if (opened == null) {
             endAttempt(Outcome.CONNECT_FAILED);
+        } else if (!opened.readAndCheckIdle()) {
+            failureReason = "sends bytes before any request, or ends the connection";
+            endAttempt(Outcome.CONNECT_FAILED);
         } else {
             sendOn(opened);
         }
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
@@ -152,4 +153,23 @@
         EndpointFixture.write(earlier, REJECTION);
         assertEquals(Outcome.ERROR, fixture.nextResult().outcome());
     }
+
+    /** Guards against a response on a new connection that was there before the request. */
+    @Test
+    public void aResponseBeforeTheRequestIsNotTakenForItsResponse() throws Exception {
+        CountDownLatch responseWritten = new CountDownLatch(1);
+        // The task runs after the connect has begun, and before it is known to be complete.
+        fixture.attempt("1", () -> await(responseWritten));
+        EndpointFixture.write(accept(), COPY);
+        responseWritten.countDown();
+        assertEquals(Outcome.CONNECT_FAILED, fixture.nextResult().outcome());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
