Do not take a success before the request's last byte for the request's

What callers might see: a body that no server made for the request, while a long request is still being written.

Cause: a whole 200 counted whenever it came. By the protocol a server starts on a request when its last byte has arrived, so an earlier success belongs to no request of this connection.

Change: on the platform's protocol such an attempt ends as one whose request was not written to its end; the connection is closed, so that it never is. Plain HTTP servers may respond early (RFC 9112, 9.3), and errors and rejections keep their meaning.

Result: ResponsePairingTest.aSuccessBeforeTheLastByteIsNotTheRequests failed before (OK).

--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -243,11 +243,16 @@
     }
 
     /**
-     * Returns the outcome as far as the response proves it. A rejection by an endpoint that has
-     * sent surplus responses may be one of these.
+     * Returns the outcome as far as the response proves it. A success before the request's last
+     * byte cannot be of this request, unless the endpoint serves plain HTTP. A rejection by an
+     * endpoint that has sent surplus responses may be one of these.
      */
     private Outcome provenOutcome() {
         Outcome outcome = response.outcome();
+        if (outcome == Outcome.OK && !isRequestSent() && request.forwardedHeaders() == null) {
+            failureReason = "responds before the request's last byte";
+            return outcomeIfNotSent();
+        }
         if (outcome == Outcome.REJECTED && !singleUse && connections.isSingleUse(endpoint)) {
             failureReason = "sends surplus responses, of which its rejection may be one";
             return Outcome.ERROR;
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -21,6 +21,9 @@
     private static final String REJECTION =
             "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 
+    /** More than the system buffers for a connection. */
+    private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
+
     private final EndpointFixture fixture = new EndpointFixture();
     private final List<Socket> connections = new ArrayList<>();
 
@@ -172,4 +175,14 @@
             throw new AssertionError(e);
         }
     }
+
+    /** Guards against a response that came before the endpoint could serve the request. */
+    @Test
+    public void aSuccessBeforeTheLastByteIsNotTheRequests() throws Exception {
+        fixture.attempt("1", LONG_BODY_BYTES);
+        Socket connection = accept();
+        EndpointFixture.readRequest(connection);
+        EndpointFixture.write(connection, OK);
+        assertEquals(Outcome.CONNECT_FAILED, fixture.nextResult().outcome());
+    }
 }
