Let a new connection rest for a round trip before its first request

What callers might see: a response that a server sends on a new connection to nobody, taken for the first request's. Reading a new connection in the moment it comes up is too early to see much.

Change: the first request is written a round trip (as long as the connect took) and 2 ms after the connect, 10 ms at most; what has come by then ends the attempt as one that could not connect.

Why this works: what the server sends when it accepts the connection arrives a round trip after the connect at the latest.

ResponsePairingTest.aNewConnectionRestsBeforeItsFirstRequest asks for the 2 ms; aSecondResponseIsNotTakenForTheNextRequests ends its second connection, as the copy may now come before the second request, which makes the endpoint's connections single-use.

--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -51,6 +51,13 @@
     /** Cancels the connect that is in progress, or null. */
     private Runnable cancelConnect;
 
+    /** When the connect was begun; undefined without one. */
+    private long connectStartedAt;
+
+    /** A new connection that is not used yet, in case the endpoint sends bytes on it; or null. */
+    private HttpConnection settling;
+
+    private XnioExecutor.Key settleTimer;
     private HttpConnection connection;
 
     /** When the request's last byte was written; until then, when sending started. */
@@ -107,6 +114,7 @@
             sendOn(idle);
             return;
         }
+        connectStartedAt = loop.now();
         connectTimer =
                 loop.scheduleAfterReading(
                         connections.connectTimeoutNs(), () -> endAttempt(Outcome.CONNECT_FAILED));
@@ -126,11 +134,22 @@
         connectTimer.remove();
         if (opened == null) {
             endAttempt(Outcome.CONNECT_FAILED);
-        } else if (!opened.readAndCheckIdle()) {
-            failureReason = "sends bytes before any request, or ends the connection";
-            endAttempt(Outcome.CONNECT_FAILED);
         } else {
+            settling = opened;
+            long delayNs = connections.firstUseDelayNs(loop.now() - connectStartedAt);
+            settleTimer = loop.schedule(delayNs, this::sendOnNewConnection);
+        }
+    }
+
+    /** Sends the request, unless the endpoint has sent bytes on the new connection or ended it. */
+    private void sendOnNewConnection() {
+        HttpConnection opened = settling;
+        settling = null;
+        if (opened.readAndCheckIdle()) {
             sendOn(opened);
+        } else {
+            failureReason = "sends bytes before any request, or ends the connection";
+            endAttempt(Outcome.CONNECT_FAILED);
         }
     }
 
@@ -354,9 +373,14 @@
         }
         cancelTimeout();
         connectTimer = cancelTimer(connectTimer);
+        settleTimer = cancelTimer(settleTimer);
         if (outcome != Outcome.OK) {
             logFailure(outcome);
         }
+        if (settling != null) {
+            connections.release(endpoint, settling);
+            settling = null;
+        }
         if (cancelConnect != null) {
             cancelConnect.run();
         }
--- a/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
@@ -152,6 +152,16 @@
         return null;
     }
 
+    /**
+     * Returns how long a new connection is idle before it carries its first request, in
+     * nanoseconds.
+     *
+     * @param connectNs how long the connect took
+     */
+    long firstUseDelayNs(long connectNs) {
+        return reuseDelay.firstUseNs(connectNs);
+    }
+
     /** Returns whether the endpoint's connections carry one request only for now. */
     boolean isSingleUse(PooledEndpoint endpoint) {
         return endpoint.isSingleUse(loop.now());
--- a/engine/src/main/java/trailthread/engine/endpoint/ReuseDelay.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ReuseDelay.java
@@ -1,8 +1,8 @@
 package trailthread.engine.endpoint;
 
 /**
- * How long a connection is idle after a response before it carries the next request. Times are
- * handed in, in nanoseconds by a clock that never steps.
+ * How long a connection is idle before it carries a request. Times are handed in, in nanoseconds by
+ * a clock that never steps.
  *
  * <p>HTTP/1.1 pairs responses with requests by their order alone. A surplus response that arrives
  * while the connection is idle shows as such; one that arrives after the next request was sent
@@ -20,6 +20,11 @@
     /** How long a surplus is remembered. */
     static final long MEMORY_NS = 600_000_000_000L;
 
+    /** A new connection rests for this long beyond the round trip of its connect. */
+    static final long FIRST_USE_MARGIN_NS = 2_000_000L;
+
+    static final long MAX_FIRST_USE_NS = 10_000_000L;
+
     private boolean disabled;
     private long afterSurplusNs;
     private long rememberedUntil = Long.MIN_VALUE;
@@ -32,6 +37,17 @@
         return now < rememberedUntil ? afterSurplusNs : DEFAULT_NS;
     }
 
+    /**
+     * Returns how long a new connection is idle before it carries its first request, in
+     * nanoseconds. What the endpoint sends at once when it accepts the connection arrives a round
+     * trip after the connect at the latest.
+     *
+     * @param connectNs how long the connect took
+     */
+    long firstUseNs(long connectNs) {
+        return disabled ? 0 : Math.min(MAX_FIRST_USE_NS, connectNs + FIRST_USE_MARGIN_NS);
+    }
+
     /**
      * Lengthens the delay.
      *
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -62,6 +62,7 @@
         EndpointFixture.write(first, COPY);
         assertTrue(EndpointFixture.readRequest(second).contains("X-Correlation-Id: 2\r\n"));
         EndpointFixture.write(second, OK);
+        second.shutdownOutput(); // the response counts with it if the copy came before the request
         assertEquals("made", nextBody());
     }
 
@@ -168,6 +169,15 @@
         assertEquals(Outcome.CONNECT_FAILED, fixture.nextResult().outcome());
     }
 
+    /** Guards against a first request that leaves an unasked response no time to arrive. */
+    @Test
+    public void aNewConnectionRestsBeforeItsFirstRequest() throws Exception {
+        long startedAt = System.nanoTime();
+        fixture.attempt("1");
+        EndpointFixture.readRequest(accept());
+        assertTrue(System.nanoTime() - startedAt >= ReuseDelay.FIRST_USE_MARGIN_NS);
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
--- a/engine/src/test/java/trailthread/engine/endpoint/ReuseDelayTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ReuseDelayTest.java
@@ -29,6 +29,12 @@
         assertEquals(ReuseDelay.MARGIN * 100 * MS, delay.ns(START + MS));
     }
 
+    @Test
+    public void aNewConnectionRestsForARoundTrip() {
+        assertEquals(3 * MS + ReuseDelay.FIRST_USE_MARGIN_NS, delay.firstUseNs(3 * MS));
+        assertEquals(ReuseDelay.MAX_FIRST_USE_NS, delay.firstUseNs(1_000 * MS));
+    }
+
     @Test
     public void theDelayIsLimited() {
         delay.surplusReceived(START, 3_000 * MS);
@@ -40,5 +46,6 @@
         delay.disable();
         delay.surplusReceived(START, MS);
         assertEquals(0, delay.ns(START));
+        assertEquals(0, delay.firstUseNs(MS));
     }
 }
