Play responses on new connections and late ones in the soak, by hand

Scenarios that no rest rules out before a server's first stray is noticed; -Dsoak.open=true plays them.

--- a/daemon/src/test/java/trailthread/daemon/soak/StrayResponseRun.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/StrayResponseRun.java
@@ -97,6 +97,7 @@
             servers[i] =
                     cluster.closeAtEnd(
                             new ScriptedServer(request -> serve(request, number, random)));
+            servers[i].setAcceptScript(connection -> greet(connection, random));
         }
         String config = cluster.config(TestCluster.SETTINGS, servers);
         for (int i = 0; i < SERVERS; i++) {
@@ -110,6 +111,12 @@
         return config.replace(entry + 0, entry + cell);
     }
 
+    private void greet(Socket connection, Random random) throws IOException {
+        if (scenario.hasGreetings() && random.nextBoolean()) {
+            Message.send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nnobody");
+        }
+    }
+
     private void serve(Message request, int server, Random random) throws IOException {
         String id = request.header("X-Correlation-Id");
         if (id == null) {
--- a/daemon/src/test/java/trailthread/daemon/soak/StrayResponseScenario.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/StrayResponseScenario.java
@@ -14,6 +14,9 @@
     /** Stands for a copy of the response before. */
     static final String COPY = "copy";
 
+    /** Stands for a response at once on half of the new connections, and none later. */
+    static final String GREETING = "greeting";
+
     /** Stands for no stray at all. */
     static final String NONE = "none";
 
@@ -34,9 +37,25 @@
                     new StrayResponseScenario(REJECTION, 40, 80, CLIENTS),
                     new StrayResponseScenario(ERROR, 0, 40, CLIENTS));
 
-    /** Returns whether strays are sent. */
+    /**
+     * The scenarios for runs by hand: these may break rules until the first stray of a server is
+     * noticed.
+     */
+    static final List<StrayResponseScenario> OPEN =
+            List.of(
+                    new StrayResponseScenario(GREETING, 0, 1, CLIENTS),
+                    new StrayResponseScenario(COPY, 60, 150, CLIENTS),
+                    new StrayResponseScenario(REJECTION, 60, 150, CLIENTS),
+                    new StrayResponseScenario(REJECTION, 120, 300, CROWD));
+
+    /** Returns whether strays follow responses. */
     boolean hasStrays() {
-        return !stray.equals(NONE);
+        return !stray.equals(NONE) && !stray.equals(GREETING);
+    }
+
+    /** Returns whether strays are sent on new connections. */
+    boolean hasGreetings() {
+        return stray.equals(GREETING);
     }
 
     /** Returns the bytes of a stray after this response. */
--- a/daemon/src/test/java/trailthread/daemon/soak/StrayResponseSoakTest.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/StrayResponseSoakTest.java
@@ -23,13 +23,19 @@
     public void noStrayResponseIsTakenForAnotherRequests() throws Exception {
         String[] range = SEEDS.split("-");
         for (long seed = Long.parseLong(range[0]); seed <= Long.parseLong(range[1]); seed++) {
-            for (StrayResponseScenario scenario : StrayResponseScenario.ALL) {
+            for (StrayResponseScenario scenario : scenarios()) {
                 run(scenario, seed);
             }
         }
         assertEquals(List.of(), evidence);
     }
 
+    private static List<StrayResponseScenario> scenarios() {
+        return Boolean.getBoolean("soak.open")
+                ? StrayResponseScenario.OPEN
+                : StrayResponseScenario.ALL;
+    }
+
     private void run(StrayResponseScenario scenario, long seed) throws Exception {
         StrayResponseRun.Result result = StrayResponseRun.run(scenario, seed);
         Map<PairingRule, Integer> counts = new EnumMap<>(PairingRule.class);
