--- a/daemon/src/main/java/trailthread/daemon/admin/Exposition.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/Exposition.java
@@ -194,7 +194,10 @@
                 "Connections closed because the endpoint sent bytes that no request asked for.",
                 fleet.worstEndpoints(),
                 endpoint -> endpoint.surplus);
-        EndpointTotals others = fleet.otherEndpoints();
+        addOtherEndpoints(fleet.otherEndpoints());
+    }
+
+    private void addOtherEndpoints(EndpointTotals others) {
         families.gauge(
                 "trailthread_other_workers",
                 "Endpoints without metrics of their own here.",
