--- a/command/src/test/java/trailthread/command/ServicesTest.java
+++ b/command/src/test/java/trailthread/command/ServicesTest.java
@@ -300,7 +300,7 @@
                             try {
                                 for (int i = 0; i < 200; i++) {
                                     cluster.reload(files[i % files.length]);
-                                    Thread.sleep(REUSE_DELAY_MS);
+                                    Thread.sleep(20);
                                 }
                                 cluster.reload(files[0]);
                             } catch (IOException | InterruptedException e) {
