Take neither latency nor load report from a response that may be another request's

Also a flag that repeated RequestWriter's state is gone.

Result: ResponsePairingTest, OutcomeByMomentTest, LateLoopTest and ReuseDelayTest pass; the latency and the report themselves have no test.

--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -65,8 +65,6 @@
 
     private boolean ended;
 
-    private boolean requestSent;
-
     /** Whether the end of the connection proves the response. */
     private boolean singleUse;
 
@@ -227,7 +225,6 @@
 
     @Override
     public void requestSent() {
-        requestSent = true;
         sentAt = loop.now(); // the time to send a long body is not part of the endpoint's latency
         if (request.bodySource() != null && !isStreaming() && !ended) {
             cancelTimeout();
@@ -253,6 +250,11 @@
     @Override
     public void responseCompleted() {
         Outcome outcome = provenOutcome();
+        if (outcome != response.outcome()) {
+            // the response may be another request's, and so may its latency and load report
+            endAttempt(outcome, elapsedNs(), null);
+            return;
+        }
         if (outcome == Outcome.OK) {
             connections.release(endpoint, connection);
             connection = null;
@@ -402,7 +404,7 @@
                 outcome,
                 failureReason,
                 elapsedNs(),
-                requestSent || isRequestSent(),
+                isRequestSent(),
                 connectionIdleNs);
     }
 }
--- a/engine/src/main/java/trailthread/engine/endpoint/ReuseDelay.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ReuseDelay.java
@@ -39,8 +39,8 @@
 
     /**
      * Returns how long a new connection is idle before it carries its first request, in
-     * nanoseconds. What the endpoint sends at once when it accepts the connection arrives a round
-     * trip after the connect at the latest.
+     * nanoseconds. What the endpoint sends at once when it accepts the connection arrives about a
+     * round trip after the connect.
      *
      * @param connectNs how long the connect took
      */
