--- a/lab/src/main/java/trailthread/lab/emulation/EmulatedServer.java
+++ b/lab/src/main/java/trailthread/lab/emulation/EmulatedServer.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.apache.commons.rng.UniformRandomProvider;
 import trailthread.api.EndpointState;
 import trailthread.api.LoadReport;
 import trailthread.api.Outcome;
@@ -27,8 +28,12 @@
     private static final Pattern WORK = Pattern.compile("[?&]work=([0-9]{1,15})\\b");
     private static final String GARBAGE =
             "HTTP/9 \u0001\u0002 wor\u00ffk\r\n\u0000\u0003: ;;\r\n\r\n\u00fe";
+    private static final String UNPROCESSED = "X-Unprocessed: 1\r\n";
     private static final int TRICKLE_PIECES = 10;
 
+    /** A copy of the response before, a rejection, and an error. */
+    private static final int STRAY_KINDS = 3;
+
     final String name;
     final String zone;
     final int cell;
@@ -36,6 +41,7 @@
     private final ServerProcess process;
     private final List<RestartableListener> listeners = new ArrayList<>();
     private final Set<NodeConnection> connections = new HashSet<>();
+    private final UniformRandomProvider strayRandom;
     EndpointState state = EndpointState.READY;
 
     /** Whether the connections are isolated; follows the isolation fault of the process. */
@@ -53,6 +59,7 @@
         this.name = name;
         this.zone = zone;
         this.cell = cell;
+        strayRandom = emulation.streams().stream("strays " + name);
         process =
                 new ServerProcess(
                         emulation.eventQueue(),
@@ -205,6 +212,9 @@
         /** The request in progress, or null. */
         private ReceivedRequest currentRequest;
 
+        /** Whether the last request asks for the end of the connection after its response. */
+        private boolean lastRequest;
+
         NodeConnection(String node) {
             this.node = node;
         }
@@ -216,11 +226,12 @@
                 ended();
                 return;
             }
+            lastRequest = !message.keepsConnectionOpen();
             if (message.target().equals("/health") || message.target().equals("/status/load")) {
                 emulation.metrics().recordHealthCheck();
                 process.checkHealth(
                         () ->
-                                transport.send(
+                                sendWhole(
                                         response(
                                                 "200 OK",
                                                 null,
@@ -231,7 +242,7 @@
             String id = message.header("x-correlation-id");
             Matcher work = WORK.matcher(message.target());
             if (id == null || !work.find()) {
-                transport.send(response("404 Not Found", null, "", ""));
+                sendWhole(response("404 Not Found", null, "", ""));
                 return;
             }
             int attempt = emulation.nextAttempt(id, EmulatedServer.this);
@@ -280,7 +291,7 @@
                             checker.attemptEnded(
                                     emulation.now(), request.requestId, request.attempt, outcome));
             if (trickleNs == 0) {
-                transport.send(text);
+                sendWhole(text);
                 return;
             }
             int pieceLength = Math.max(1, text.length() / TRICKLE_PIECES);
@@ -290,6 +301,32 @@
                         .eventQueue()
                         .scheduleAfter(trickleNs * i / TRICKLE_PIECES, () -> transport.send(part));
             }
+            emulation.eventQueue().scheduleAfter(trickleNs, () -> responseSent(text));
+        }
+
+        private void sendWhole(String text) {
+            transport.send(text);
+            responseSent(text);
+        }
+
+        /** Ends the connection if the request asks for it; otherwise a stray may follow. */
+        private void responseSent(String text) {
+            if (lastRequest) {
+                transport.closeWhenFlushed();
+                connections.remove(this);
+            } else if (strayRandom.nextDouble() < process.faults.strayShare) {
+                String stray = strayAfter(text);
+                long delayNs = (long) (strayRandom.nextDouble() * process.faults.maxStrayDelayNs);
+                emulation.eventQueue().scheduleAfter(delayNs, () -> transport.send(stray));
+            }
+        }
+
+        private String strayAfter(String text) {
+            return switch (strayRandom.nextInt(STRAY_KINDS)) {
+                case 0 -> text;
+                case 1 -> response("503 Full", null, UNPROCESSED, "");
+                default -> response("500 Failed", null, "", "");
+            };
         }
     }
 
@@ -345,7 +382,7 @@
                         connection.sendResponse(
                                 this,
                                 Outcome.REJECTED,
-                                response("503 Full", load, "X-Unprocessed: 1\r\n", ""),
+                                response("503 Full", load, UNPROCESSED, ""),
                                 trickleNs);
                 case GARBAGE -> connection.sendResponse(this, Outcome.RESET, GARBAGE, 0);
                 case RESET -> {
--- a/lab/src/main/java/trailthread/lab/emulation/HttpMessageConnection.java
+++ b/lab/src/main/java/trailthread/lab/emulation/HttpMessageConnection.java
@@ -37,6 +37,9 @@
     private boolean connected;
     private boolean open = true;
 
+    /** Whether the connection is closed once everything sent has been written. */
+    private boolean closeWhenFlushed;
+
     /** Whether the host is isolated: the connection is then neither read nor written. */
     private boolean isolated;
 
@@ -187,6 +190,9 @@
         } catch (IOException e) {
             fail("reset");
         }
+        if (closeWhenFlushed && pendingWrites.isEmpty()) {
+            close();
+        }
         updateInterestOps();
     }
 
@@ -224,6 +230,14 @@
         }
     }
 
+    /** Closes the connection once everything sent has been written. */
+    void closeWhenFlushed() {
+        closeWhenFlushed = true;
+        if (pendingWrites.isEmpty()) {
+            close();
+        }
+    }
+
     /** Closes the connection with a TCP reset. */
     void reset() {
         try {
--- a/lab/src/main/java/trailthread/lab/fault/FaultInjector.java
+++ b/lab/src/main/java/trailthread/lab/fault/FaultInjector.java
@@ -96,6 +96,15 @@
                             random,
                             faults -> faults.garbageShare = fault.magnitude(),
                             faults -> faults.garbageShare = 0);
+            case STRAY_RESPONSES ->
+                    setServerFaults(
+                            fault,
+                            random,
+                            faults -> {
+                                faults.strayShare = fault.requestShare();
+                                faults.maxStrayDelayNs = (long) (fault.magnitude() * 1e9);
+                            },
+                            faults -> faults.strayShare = 0);
             case DRIPS ->
                     setServerFaults(
                             fault,
--- a/lab/src/main/java/trailthread/lab/scenario/Scenario.java
+++ b/lab/src/main/java/trailthread/lab/scenario/Scenario.java
@@ -185,6 +185,12 @@
          * and send responses that can't be parsed.
          */
         GARBAGE,
+        /**
+         * {@code affectedShare} of the servers follow a share {@code requestShare} of their
+         * responses with another one, on the same connection and up to {@code magnitude} seconds
+         * later. On sockets only: simulated connections carry no bytes.
+         */
+        STRAY_RESPONSES,
         /**
          * {@code affectedShare} of the servers trickle each response over {@code magnitude}
          * seconds.
@@ -238,7 +244,8 @@
      *
      * @param affectedShare the share of servers or nodes affected, 0 to 1
      * @param magnitude its meaning depends on the kind: see {@link FaultKind}
-     * @param requestShare the share of requests affected; only for {@link FaultKind#HEAVY_TAIL}
+     * @param requestShare the share of requests affected; only for {@link FaultKind#HEAVY_TAIL} and
+     *     {@link FaultKind#STRAY_RESPONSES}
      * @param zone the zone that is isolated, or whose servers alone are affected; null for all
      *     zones
      */
--- a/lab/src/main/java/trailthread/lab/server/ServerFaults.java
+++ b/lab/src/main/java/trailthread/lab/server/ServerFaults.java
@@ -18,6 +18,12 @@
     /** Share of requests that are executed and get a response that is not valid HTTP. */
     public double garbageShare;
 
+    /** Share of responses that a stray one follows on the same connection. */
+    public double strayShare;
+
+    /** The longest time from a response to the stray one, in ns. */
+    public long maxStrayDelayNs;
+
     /** The time over which the bytes of a response are spread, in ns; 0 sends it at once. */
     public long trickleNs;
 
@@ -26,7 +32,7 @@
 
     /** Whether none of these faults is active. */
     public boolean noneActive() {
-        return errorShare + lostResponseShare + resetShare + garbageShare == 0
+        return errorShare + lostResponseShare + resetShare + garbageShare + strayShare == 0
                 && trickleNs == 0
                 && !isolated;
     }
--- a/lab/src/test/java/trailthread/lab/emulation/EmulatedServerTest.java
+++ b/lab/src/test/java/trailthread/lab/emulation/EmulatedServerTest.java
@@ -168,6 +168,17 @@
         assertEquals("HTTP/9 \u0001", new String(first, StandardCharsets.ISO_8859_1));
     }
 
+    @Test
+    public void sendsStrayResponses() throws Exception {
+        start(fault("stray_responses", "size = 0.001\nextra = 1.0"));
+        Socket kept = request("1", 1);
+        assertEquals("1 w0 1\n", Message.read(kept).body());
+        assertTrue("a stray follows", Message.read(kept).status() >= 200);
+        Socket ending = get("/c?work=1", "X-Correlation-Id: 2\r\nConnection: close\r\n");
+        assertEquals("2 w0 1\n", Message.read(ending).body());
+        assertNull("the request was the last one", Message.read(ending));
+    }
+
     @Test
     public void sendsResponsesSlowly() throws Exception {
         start(fault("drips", "size = 0.5"));
--- a/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
+++ b/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
@@ -60,7 +60,8 @@
                 GOOD.replace("name = \"x\"\n", ""), "f:1:1: name: expected a text, found nothing");
         assertErrors(
                 GOOD + "[[faults]]\ntrouble = \"gremlins\"\nat = \"1s\"\n",
-                "f:13:1: faults[0].trouble: expected one of fast_errors, lost_answers, resets, garbage, drips, slow, "
+                "f:13:1: faults[0].trouble: expected one of fast_errors, lost_answers, resets, garbage, "
+                        + "stray_responses, drips, slow, "
                         + "late_reports, heavy_tail, cut, zone_cut, restart, replace, cold_fleet, roster_down, "
                         + "node_kill, node_restart, node_reload, node_pause, found gremlins");
         assertErrors(
