--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,9 @@
 soak:
 	$(MVN) -q -pl daemon -am test -Dtest=ShutdownSoakTest\#nothingIsLostUnderAnySeed -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
 
-# Servers that send responses without a request, several runs per seed; prints each violated rule.
+# Real nodes between emulated servers that send responses without a request, one run per seed.
 soak-responses:
-	$(MVN) -q -pl daemon -am test -Dtest=StrayResponseSoakTest -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
+	$(MVN) -q -pl lab -am test -Dtest=EmulationTest\#strayResponsesBreakNoInvariant -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
 
 # Formats all sources (google-java-format, AOSP style).
 format:
--- a/lab/src/main/java/trailthread/lab/emulation/EmulatedServer.java
+++ b/lab/src/main/java/trailthread/lab/emulation/EmulatedServer.java
@@ -97,6 +97,9 @@
                     HttpMessageConnection.accepted(emulation.loop(), channel, connection);
             connection.transport.setIsolated(process.faults.isolated);
             connections.add(connection);
+            if (strayRandom.nextDouble() < process.faults.greetingShare) {
+                connection.transport.send(response("200 OK", null, "", "nobody"));
+            }
         } catch (IOException e) {
             // the client has disconnected already
         }
--- a/lab/src/main/java/trailthread/lab/fault/FaultInjector.java
+++ b/lab/src/main/java/trailthread/lab/fault/FaultInjector.java
@@ -105,6 +105,12 @@
                                 faults.maxStrayDelayNs = (long) (fault.magnitude() * 1e9);
                             },
                             faults -> faults.strayShare = 0);
+            case GREETINGS ->
+                    setServerFaults(
+                            fault,
+                            random,
+                            faults -> faults.greetingShare = fault.magnitude(),
+                            faults -> faults.greetingShare = 0);
             case DRIPS ->
                     setServerFaults(
                             fault,
--- a/lab/src/main/java/trailthread/lab/scenario/Scenario.java
+++ b/lab/src/main/java/trailthread/lab/scenario/Scenario.java
@@ -191,6 +191,11 @@
          * later. On sockets only: simulated connections carry no bytes.
          */
         STRAY_RESPONSES,
+        /**
+         * {@code affectedShare} of the servers send a response at once on a share {@code magnitude}
+         * of their new connections. On sockets only.
+         */
+        GREETINGS,
         /**
          * {@code affectedShare} of the servers trickle each response over {@code magnitude}
          * seconds.
--- a/lab/src/main/java/trailthread/lab/server/ServerFaults.java
+++ b/lab/src/main/java/trailthread/lab/server/ServerFaults.java
@@ -24,6 +24,9 @@
     /** The longest time from a response to the stray one, in ns. */
     public long maxStrayDelayNs;
 
+    /** Share of new connections on which a response is sent before any request. */
+    public double greetingShare;
+
     /** The time over which the bytes of a response are spread, in ns; 0 sends it at once. */
     public long trickleNs;
 
@@ -32,7 +35,13 @@
 
     /** Whether none of these faults is active. */
     public boolean noneActive() {
-        return errorShare + lostResponseShare + resetShare + garbageShare + strayShare == 0
+        return errorShare
+                                + lostResponseShare
+                                + resetShare
+                                + garbageShare
+                                + strayShare
+                                + greetingShare
+                        == 0
                 && trickleNs == 0
                 && !isolated;
     }
--- a/lab/src/test/java/trailthread/lab/emulation/EmulatedServerTest.java
+++ b/lab/src/test/java/trailthread/lab/emulation/EmulatedServerTest.java
@@ -179,6 +179,13 @@
         assertNull("the request was the last one", Message.read(ending));
     }
 
+    @Test
+    public void greetsNewConnections() throws Exception {
+        start(fault("greetings", "size = 1"));
+        Socket greeted = connect(emulation.serverAddresses(0).get(0));
+        assertEquals("nobody", Message.read(greeted).body());
+    }
+
     @Test
     public void sendsResponsesSlowly() throws Exception {
         start(fault("drips", "size = 0.5"));
--- a/lab/src/test/java/trailthread/lab/emulation/EmulationTest.java
+++ b/lab/src/test/java/trailthread/lab/emulation/EmulationTest.java
@@ -86,56 +86,6 @@
             part = 0.5
             """;
 
-    /** Truly full servers and keyed requests beside the strays, and a crowd from 6 s on. */
-    private static final String STRAY_RESPONSES =
-            """
-            name = "strays"
-            length = "10s"
-            zones = ["a"]
-            [clients]
-            per_second = 150
-            retries = 2
-            [[clients.surges]]
-            at = "6s"
-            for = "3s"
-            times = 3
-            [[classes]]
-            name = "state"
-            work = ["5ms", "9ms"]
-            share = 0.4
-            aim = "10s"
-            deadline = "10s"
-            [[classes]]
-            name = "action"
-            repeats = "keyed"
-            group = "cell"
-            window = "10s"
-            work = "5ms"
-            share = 0.3
-            aim = "10s"
-            deadline = "10s"
-            [[classes]]
-            name = "attempt"
-            repeats = "unsafe"
-            work = "5ms"
-            share = 0.3
-            aim = "10s"
-            deadline = "10s"
-            [fleet]
-            workers = 6
-            cells = 3
-            slots = 1
-            room = 1
-            [rules]
-            answer_slack = "5s"
-            [[faults]]
-            trouble = "stray_responses"
-            at = "1s"
-            for = "9s"
-            size = 0.08
-            extra = 0.2
-            """;
-
     /** The seeds of runs with stray responses, from-to. */
     private static final String SEEDS = System.getProperty("soak.seeds", "1-2");
 
@@ -147,7 +97,7 @@
     /** Guards against a response that is taken for another request's. */
     @Test
     public void strayResponsesBreakNoInvariant() throws Exception {
-        Scenario scenario = ScenarioReader.parse("strays", STRAY_RESPONSES);
+        Scenario scenario = ScenarioReader.read(Path.of("scenarios", "stray-responses.toml"));
         String[] range = SEEDS.split("-");
         for (long seed = Long.parseLong(range[0]); seed <= Long.parseLong(range[1]); seed++) {
             run(scenario, seed, 0.5);
--- a/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
+++ b/lab/src/test/java/trailthread/lab/scenario/ScenarioReaderTest.java
@@ -61,7 +61,7 @@
         assertErrors(
                 GOOD + "[[faults]]\ntrouble = \"gremlins\"\nat = \"1s\"\n",
                 "f:13:1: faults[0].trouble: expected one of fast_errors, lost_answers, resets, garbage, "
-                        + "stray_responses, drips, slow, "
+                        + "stray_responses, greetings, drips, slow, "
                         + "late_reports, heavy_tail, cut, zone_cut, restart, replace, cold_fleet, roster_down, "
                         + "node_kill, node_restart, node_reload, node_pause, found gremlins");
         assertErrors(
--- a/testkit/src/main/java/trailthread/testkit/ScriptedServer.java
+++ b/testkit/src/main/java/trailthread/testkit/ScriptedServer.java
@@ -30,12 +30,6 @@
         void respond(Message request) throws IOException;
     }
 
-    /** Handles new connections. */
-    public interface AcceptScript {
-        /** Does something with a connection before its first request is read. */
-        void accepted(Socket connection) throws IOException;
-    }
-
     /** The requests that no test has taken yet. */
     public final BlockingQueue<Message> requests = new LinkedBlockingQueue<>();
 
@@ -45,7 +39,6 @@
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
     private volatile Script script;
-    private volatile AcceptScript acceptScript = connection -> {};
 
     /** Starts a server on a free port. */
     public ScriptedServer(Script script) throws IOException {
@@ -90,11 +83,6 @@
         this.script = script;
     }
 
-    /** Sets what happens to each connection before its first request is read. */
-    public void setAcceptScript(AcceptScript acceptScript) {
-        this.acceptScript = acceptScript;
-    }
-
     /** Takes the next request; fails if none comes in time. */
     public Message takeRequest() throws InterruptedException {
         Message request = requests.poll(TIMEOUT_S, TimeUnit.SECONDS);
@@ -124,7 +112,6 @@
 
     private void serve(Socket connection) {
         try (connection) {
-            acceptScript.accepted(connection);
             for (Message m = Message.read(connection); m != null; m = Message.read(connection)) {
                 requests.add(m);
                 script.respond(m);
--- a/testkit/src/main/java/trailthread/testkit/TestCluster.java
+++ b/testkit/src/main/java/trailthread/testkit/TestCluster.java
@@ -86,13 +86,8 @@
      */
     public TestCluster start(String settings, ScriptedServer... initialEndpoints)
             throws IOException, InterruptedException {
-        return startWithConfig(config(settings, initialEndpoints));
-    }
-
-    /** Starts the program as a platform node with this configuration, and waits until it serves. */
-    public TestCluster startWithConfig(String json) throws IOException, InterruptedException {
         log.clear();
-        runNode(json, "serve");
+        runNode(config(settings, initialEndpoints), "serve");
         awaitServing();
         return this;
     }
