--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointLog.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointLog.java
@@ -2,10 +2,11 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import trailthread.api.Outcome;
 import trailthread.engine.http.Surplus;
 import trailthread.engine.loop.EventLoop;
-import trailthread.engine.metrics.LogRateLimiter;
+import trailthread.engine.metrics.RateLimitedLogger;
 
 /**
  * Logs the attempts that were not served, with the reason of each, and surplus bytes from
@@ -20,18 +21,18 @@
     /** The idle time of a connection that was opened for the attempt, or of no connection. */
     static final long NEVER_IDLE = -1;
 
-    private final EventLoop loop;
-    private final LogRateLimiter attempts = new LogRateLimiter(ATTEMPTS_PER_SECOND);
-    private final LogRateLimiter surplus = new LogRateLimiter(SURPLUS_PER_SECOND);
-    private boolean enabled = true;
+    private final RateLimitedLogger attempts;
+    private final RateLimitedLogger surplus;
 
     EndpointLog(EventLoop loop) {
-        this.loop = loop;
+        attempts = new RateLimitedLogger(LOG, Level.INFO, ATTEMPTS_PER_SECOND, loop::now);
+        surplus = new RateLimitedLogger(LOG, Level.WARN, SURPLUS_PER_SECOND, loop::now);
     }
 
     /** Stops logging. */
     void disable() {
-        enabled = false;
+        attempts.disable();
+        surplus.disable();
     }
 
     /**
@@ -50,19 +51,18 @@
             long elapsedNs,
             boolean sent,
             long idleNs) {
-        if (!enabled || !attempts.tryAcquire(loop.now())) {
+        if (!attempts.tryAcquire()) {
             return;
         }
-        LOG.info(
-                "attempt of request {} at {} ended: {}{} after {} ms, request {}, connection {}{}",
+        attempts.write(
+                "attempt of request {} at {} ended: {}{} after {} ms, request {}, connection {}",
                 requestId == null ? "(health check)" : requestId,
                 endpoint,
                 outcome,
                 reason == null ? "" : " (it " + reason + ")",
                 milliseconds(elapsedNs),
                 sent ? "sent" : "not sent",
-                idleNs == NEVER_IDLE ? "new" : "idle for " + milliseconds(idleNs) + " ms before",
-                suppressedNote(attempts));
+                idleNs == NEVER_IDLE ? "new" : "idle for " + milliseconds(idleNs) + " ms before");
     }
 
     /**
@@ -71,22 +71,16 @@
      * @param reuseDelayNs how long all connections rest from now on
      */
     void surplusReceived(String endpoint, Surplus received, long reuseDelayNs) {
-        if (!enabled || !surplus.tryAcquire(loop.now())) {
+        if (!surplus.tryAcquire()) {
             return;
         }
-        LOG.warn(
-                "{} has sent {} {} ms after a response: its connections carry one request each,"
-                        + " others rest for {} ms{}",
+        surplus.write(
+                "{} has sent {} {} ms after a response or connect: its connections carry one request each,"
+                        + " others rest for {} ms",
                 endpoint,
                 received.startsResponse() ? "a response to no request" : "surplus bytes",
                 milliseconds(received.afterNs()),
-                milliseconds(reuseDelayNs),
-                suppressedNote(surplus));
-    }
-
-    private static String suppressedNote(LogRateLimiter limiter) {
-        long suppressed = limiter.takeSuppressed();
-        return suppressed == 0 ? "" : "; " + suppressed + " such lines left out before";
+                milliseconds(reuseDelayNs));
     }
 
     private static String milliseconds(long ns) {
--- a/engine/src/main/java/trailthread/engine/request/RequestLog.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestLog.java
@@ -1,47 +1,46 @@
 package trailthread.engine.request;
 
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import trailthread.engine.loop.EventLoop;
-import trailthread.engine.metrics.LogRateLimiter;
+import trailthread.engine.metrics.RateLimitedLogger;
 
 /** Logs the requests that were rejected or failed, a bounded number per second. */
 final class RequestLog {
-    private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
     private static final int REQUESTS_PER_SECOND = 10;
 
-    private final EventLoop loop;
-    private final LogRateLimiter requests = new LogRateLimiter(REQUESTS_PER_SECOND);
-    private boolean enabled = true;
+    private final RateLimitedLogger log;
 
     RequestLog(EventLoop loop) {
-        this.loop = loop;
+        log =
+                new RateLimitedLogger(
+                        LoggerFactory.getLogger(RequestLog.class),
+                        Level.INFO,
+                        REQUESTS_PER_SECOND,
+                        loop::now);
     }
 
     /** Stops logging. */
     void disable() {
-        enabled = false;
+        log.disable();
     }
 
     void rejected(ClientRequest request, int attempts) {
-        log(request, "rejected", attempts);
+        write(request, "was rejected", attempts);
     }
 
     void failed(ClientRequest request, int attempts) {
-        log(request, "failed", attempts);
+        write(request, "failed", attempts);
     }
 
-    private void log(ClientRequest request, String result, int attempts) {
-        if (!enabled || !requests.tryAcquire(loop.now())) {
-            return;
+    private void write(ClientRequest request, String result, int attempts) {
+        if (log.tryAcquire()) {
+            log.write(
+                    "request {} of class {} {} after {} attempts",
+                    request.id(),
+                    request.requestClass(),
+                    result,
+                    attempts);
         }
-        long suppressed = requests.takeSuppressed();
-        LOG.info(
-                "request {} of class {} is {} after {} attempts{}",
-                request.id(),
-                request.requestClass(),
-                result,
-                attempts,
-                suppressed == 0 ? "" : "; " + suppressed + " such lines left out before");
     }
 }
--- a/engine/src/test/java/trailthread/engine/endpoint/AttemptLatencyTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/AttemptLatencyTest.java
@@ -9,15 +9,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
-import trailthread.api.EndpointState;
 import trailthread.api.Outcome;
-import trailthread.engine.discovery.DiscoveredEndpoint;
-import trailthread.engine.discovery.DiscoveryUpdate;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
 
@@ -42,19 +38,7 @@
             loop.execute(
                     () -> {
                         endpoints.update(
-                                new DiscoveryUpdate(
-                                        1,
-                                        true,
-                                        List.of(
-                                                new DiscoveredEndpoint(
-                                                        "w",
-                                                        "127.0.0.1:" + server.getLocalPort(),
-                                                        "a",
-                                                        0,
-                                                        EndpointState.READY,
-                                                        1,
-                                                        0))),
-                                loop.now());
+                                EndpointFixture.listing(server.getLocalPort()), loop.now());
                         endpoints.attempt(
                                 "w",
                                 new EndpointRequest(
--- a/engine/src/test/java/trailthread/engine/endpoint/EndpointFixture.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/EndpointFixture.java
@@ -46,17 +46,15 @@
 
     EndpointFixture() throws IOException {
         server.setSoTimeout(1000 * TIMEOUT_S);
+        loop.execute(() -> endpoints.update(listing(server.getLocalPort()), loop.now()));
+    }
+
+    /** Returns a list with one endpoint, "w", on this port of the loopback address. */
+    static DiscoveryUpdate listing(int port) {
         DiscoveredEndpoint endpoint =
                 new DiscoveredEndpoint(
-                        ENDPOINT,
-                        "127.0.0.1:" + server.getLocalPort(),
-                        "a",
-                        0,
-                        EndpointState.READY,
-                        1,
-                        0);
-        DiscoveryUpdate update = new DiscoveryUpdate(1, true, List.of(endpoint));
-        loop.execute(() -> endpoints.update(update, loop.now()));
+                        ENDPOINT, "127.0.0.1:" + port, "a", 0, EndpointState.READY, 1, 0);
+        return new DiscoveryUpdate(1, true, List.of(endpoint));
     }
 
     /** Starts an attempt to send a request that may not be repeated. */
--- a/engine/src/test/java/trailthread/engine/endpoint/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/LateLoopTest.java
@@ -4,27 +4,21 @@
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
-import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
 import org.junit.Test;
-import trailthread.api.EndpointState;
 import trailthread.api.LoadReport;
 import trailthread.api.Outcome;
-import trailthread.engine.discovery.DiscoveredEndpoint;
-import trailthread.engine.discovery.DiscoveryUpdate;
 import trailthread.engine.http.ByteSink;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
@@ -68,17 +62,8 @@
                         ConnectionLimit.of(16),
                         500 * MS,
                         CpuAccount.NONE);
-        DiscoveredEndpoint endpoint =
-                new DiscoveredEndpoint(
-                        "w",
-                        "127.0.0.1:" + server.getLocalPort(),
-                        "a",
-                        0,
-                        EndpointState.READY,
-                        1,
-                        0);
-        DiscoveryUpdate update = new DiscoveryUpdate(1, true, List.of(endpoint));
-        loop.execute(() -> endpoints.update(update, loop.now()));
+        loop.execute(
+                () -> endpoints.update(EndpointFixture.listing(server.getLocalPort()), loop.now()));
         return endpoints;
     }
 
@@ -102,20 +87,6 @@
         return result;
     }
 
-    private static String readRequest(Socket connection) throws IOException {
-        InputStream in = connection.getInputStream();
-        StringBuilder text = new StringBuilder();
-        while (text.indexOf("\r\n\r\n") < 0) {
-            int b = in.read();
-            if (b < 0) {
-                throw new EOFException("ended after '" + text + "'");
-            }
-            text.append((char) b);
-        }
-        in.readNBytes(4);
-        return text.toString();
-    }
-
     private static void write(Socket connection, byte[] bytes) {
         try {
             connection.getOutputStream().write(bytes);
@@ -138,7 +109,7 @@
         EndpointPool endpoints = endpoints(LONG_NS);
         loop.execute(() -> attempt(endpoints, 400 * MS));
         try (Socket connection = server.accept()) {
-            readRequest(connection);
+            EndpointFixture.readRequest(connection);
             loop.execute(
                     () -> {
                         write(connection, RESPONSE);
@@ -159,7 +130,7 @@
         loop.execute(() -> attempt(endpoints, LONG_NS));
         server.setSoTimeout(10_000);
         try (Socket first = server.accept()) {
-            readRequest(first);
+            EndpointFixture.readRequest(first);
             write(first, RESPONSE);
             assertEquals(Outcome.OK, nextResult().outcome());
             loop.execute(
@@ -181,7 +152,7 @@
                     });
             assertEquals(Outcome.NOT_SENT, nextResult().outcome());
             try (Socket second = server.accept()) {
-                assertTrue(readRequest(second).contains("X-Correlation-Id: 2\r\n"));
+                assertTrue(EndpointFixture.readRequest(second).contains("X-Correlation-Id: 2\r\n"));
             }
         }
     }
@@ -196,7 +167,7 @@
         loop.execute(() -> attempt(endpoints, LONG_NS));
         server.setSoTimeout(10_000);
         try (Socket first = server.accept()) {
-            readRequest(first);
+            EndpointFixture.readRequest(first);
             write(first, RESPONSE);
             assertEquals(Outcome.OK, nextResult().outcome());
             loop.execute(
@@ -205,7 +176,7 @@
                         attempt(endpoints, LONG_NS, Long.MAX_VALUE, "2", 4);
                     });
             try (Socket second = server.accept()) {
-                assertTrue(readRequest(second).contains("X-Correlation-Id: 2\r\n"));
+                assertTrue(EndpointFixture.readRequest(second).contains("X-Correlation-Id: 2\r\n"));
             }
         }
     }
@@ -255,7 +226,7 @@
                                     }
                                 }));
         try (Socket connection = server.accept()) {
-            readRequest(connection);
+            EndpointFixture.readRequest(connection);
             byte[] head =
                     ("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nx")
                             .getBytes(StandardCharsets.US_ASCII);
@@ -281,7 +252,7 @@
                     loop.execute(() -> sleep(300));
                 });
         try (Socket connection = server.accept()) {
-            readRequest(connection);
+            EndpointFixture.readRequest(connection);
         }
         assertEquals(
                 "the connection ends after the request was sent",
@@ -303,7 +274,7 @@
         try (Socket connection = server.accept()) {
             assertTrue(
                     "its connection carries the next request",
-                    readRequest(connection).contains("next"));
+                    EndpointFixture.readRequest(connection).contains("next"));
         }
     }
 
@@ -313,7 +284,7 @@
         EndpointPool endpoints = endpoints(LONG_NS);
         loop.execute(() -> attempt(endpoints, LONG_NS));
         try (Socket connection = server.accept()) {
-            readRequest(connection);
+            EndpointFixture.readRequest(connection);
             write(connection, RESPONSE);
             assertEquals(Outcome.OK, nextResult().outcome());
             for (boolean byTimeout : new boolean[] {false, true}) {
@@ -330,7 +301,7 @@
                 assertEquals(Outcome.NOT_SENT, nextResult().outcome());
             }
             loop.execute(() -> attempt(endpoints, LONG_NS, Long.MAX_VALUE, "next", 4));
-            assertTrue(readRequest(connection).contains("next"));
+            assertTrue(EndpointFixture.readRequest(connection).contains("next"));
         }
     }
 
@@ -356,7 +327,7 @@
         loop.execute(() -> attempt(endpoints, LONG_NS));
         try (Socket connection = server.accept()) {
             for (int i = 0; i < 2; i++) {
-                readRequest(connection);
+                EndpointFixture.readRequest(connection);
                 boolean late = i > 0;
                 loop.execute(
                         () -> {
--- a/engine/src/test/java/trailthread/engine/endpoint/OutcomeByMomentTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/OutcomeByMomentTest.java
@@ -8,16 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
-import trailthread.api.EndpointState;
 import trailthread.api.Outcome;
-import trailthread.engine.discovery.DiscoveredEndpoint;
-import trailthread.engine.discovery.DiscoveryUpdate;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
 
@@ -90,20 +86,7 @@
                         loop, connectNs, LONG_NS, 0, ConnectionLimit.of(4), 0, CpuAccount.NONE);
         loop.execute(
                 () -> {
-                    endpoints.update(
-                            new DiscoveryUpdate(
-                                    1,
-                                    true,
-                                    List.of(
-                                            new DiscoveredEndpoint(
-                                                    "w",
-                                                    "127.0.0.1:" + port,
-                                                    "a",
-                                                    0,
-                                                    EndpointState.READY,
-                                                    1,
-                                                    0))),
-                            loop.now());
+                    endpoints.update(EndpointFixture.listing(port), loop.now());
                     endpoints.attempt(
                             "w",
                             new EndpointRequest(
--- a/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/ResponsePairingTest.java
@@ -49,14 +49,28 @@
         return new String(result.response().body(), StandardCharsets.US_ASCII);
     }
 
+    /** Serves the first request on a new connection, and returns the connection. */
+    private Socket serveFirstRequest() throws Exception {
+        fixture.attempt("1");
+        Socket connection = accept();
+        EndpointFixture.readRequest(connection);
+        EndpointFixture.write(connection, OK);
+        assertEquals("made", nextBody());
+        return connection;
+    }
+
+    /** Sends a request on a new connection, and returns the connection. */
+    private Socket receiveRequest() throws Exception {
+        fixture.attempt("2");
+        Socket connection = accept();
+        EndpointFixture.readRequest(connection);
+        return connection;
+    }
+
     /** Guards against a late second response that is taken for the next request's. */
     @Test
     public void aSecondResponseIsNotTakenForTheNextRequests() throws Exception {
-        fixture.attempt("1");
-        Socket first = accept();
-        EndpointFixture.readRequest(first);
-        EndpointFixture.write(first, OK);
-        assertEquals("made", nextBody());
+        Socket first = serveFirstRequest();
         fixture.attempt("2");
         Socket second = accept();
         EndpointFixture.write(first, COPY);
@@ -69,15 +83,13 @@
     /** Guards against a reuse that leaves a second response no time to arrive. */
     @Test
     public void aConnectionIsReusedOnlyAfterTheReuseDelay() throws Exception {
-        fixture.attempt("1");
-        Socket first = accept();
-        EndpointFixture.readRequest(first);
+        Socket first = receiveRequest();
         long respondedAt = System.nanoTime();
         EndpointFixture.write(first, OK);
         assertEquals("made", nextBody());
         TimeUnit.NANOSECONDS.sleep(ReuseDelay.DEFAULT_NS);
-        fixture.attempt("2");
-        assertTrue(EndpointFixture.readRequest(first).contains("X-Correlation-Id: 2\r\n"));
+        fixture.attempt("3");
+        assertTrue(EndpointFixture.readRequest(first).contains("X-Correlation-Id: 3\r\n"));
         assertTrue(System.nanoTime() - respondedAt >= ReuseDelay.DEFAULT_NS);
         EndpointFixture.write(first, OK);
         assertEquals("made", nextBody());
@@ -86,9 +98,7 @@
     /** Guards against a retry beside an attempt whose rejection was another request's. */
     @Test
     public void aRejectionClosesItsConnection() throws Exception {
-        fixture.attempt("1");
-        Socket connection = accept();
-        EndpointFixture.readRequest(connection);
+        Socket connection = receiveRequest();
         EndpointFixture.write(connection, REJECTION);
         assertEquals(Outcome.REJECTED, fixture.nextResult().outcome());
         assertEquals(-1, connection.getInputStream().read());
@@ -97,9 +107,7 @@
     /** Guards against either of two responses that is taken for the request's. */
     @Test
     public void twoResponsesAtOnceFailTheAttempt() throws Exception {
-        fixture.attempt("1");
-        Socket connection = accept();
-        EndpointFixture.readRequest(connection);
+        Socket connection = receiveRequest();
         EndpointFixture.write(connection, REJECTION + OK);
         assertEquals(Outcome.RESET, fixture.nextResult().outcome());
         assertEquals(-1, connection.getInputStream().read());
@@ -107,11 +115,7 @@
 
     /** Makes the endpoint send a second response to the request with id 1. */
     private void sendSurplusResponse() throws Exception {
-        fixture.attempt("1");
-        Socket connection = accept();
-        EndpointFixture.readRequest(connection);
-        EndpointFixture.write(connection, OK);
-        assertEquals("made", nextBody());
+        Socket connection = serveFirstRequest();
         EndpointFixture.write(connection, COPY);
         assertEquals(-1, connection.getInputStream().read());
     }
@@ -137,9 +141,7 @@
     public void afterASurplusResponseOnlyTheOneBeforeTheEndCounts() throws Exception {
         sendSurplusResponse();
         for (String surplus : new String[] {REJECTION, COPY}) {
-            fixture.attempt("2");
-            Socket connection = accept();
-            EndpointFixture.readRequest(connection);
+            Socket connection = receiveRequest();
             EndpointFixture.write(connection, surplus);
             TimeUnit.MILLISECONDS.sleep(50); // so that the second response is read by itself
             EndpointFixture.write(connection, OK);
@@ -150,9 +152,7 @@
     /** Guards against a repeat of a request that ran while the endpoint sent surplus responses. */
     @Test
     public void aRejectionBesideASurplusResponseMayBeAnotherRequests() throws Exception {
-        fixture.attempt("0");
-        Socket earlier = accept();
-        EndpointFixture.readRequest(earlier);
+        Socket earlier = receiveRequest();
         sendSurplusResponse();
         EndpointFixture.write(earlier, REJECTION);
         assertEquals(Outcome.ERROR, fixture.nextResult().outcome());
