Bound the memory of all messages by one budget, so that slow readers don't end the node

Cause: no one owned the sum. Bodies over 64 KiB had a limit; shorter bodies, their copy behind the head, buffered responses and what a client had not taken were bounded only by the number of connections: 391 times some 200 KiB, against a heap of 80 MB. A body was also held until the end of its request, though it can't be sent again once the response streams.

Change: MemoryBudget (45% of the heap) counts all of it, in three uses, each of which leaves room for the next: what can be done without (a long body is streamed instead, pipelined bytes stay in the socket), a new request (rejected by the balancer as not admitted, with Retry-After), the response to an admitted request (streamed at once instead of buffered). Bytes that are already held count as well. RequestMemory is the part of one request, until neither the engine nor the connection uses it. The body is dropped once its response streams; bodies over 8 KiB are no longer copied behind the head; a chunked body that turns out too long is streamed from its buffer in pieces, instead of being copied whole. The warm-up now releases its requests, which nothing had noticed before. trailthread_message_memory_bytes shows the sum.

--- a/daemon/src/main/java/trailthread/daemon/LoopbackWarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/LoopbackWarmUp.java
@@ -259,6 +259,15 @@
         return () -> {};
     }
 
+    @Override
+    public Runnable handleUnadmitted(
+            ClientRequest request, long deadline, ClientResponse response) {
+        if (!request.id().startsWith(idPrefix)) {
+            return clientRequests.handleUnadmitted(request, deadline, response);
+        }
+        return RequestHandler.super.handleUnadmitted(request, deadline, response);
+    }
+
     private void respond(ClientResponse response) {
         if (finished) {
             response.fail();
@@ -267,5 +276,6 @@
         } else {
             response.respond(EndpointResponse.of(BODY));
         }
+        response.onReleased();
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -250,6 +250,11 @@
         return endpoints.connections();
     }
 
+    @Override
+    public long messageMemoryBytes() {
+        return listener.messageMemoryBytes();
+    }
+
     @Override
     public int avoidedEndpoints() {
         return requests.avoidedEndpoints();
--- a/daemon/src/main/java/trailthread/daemon/admin/Exposition.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/Exposition.java
@@ -34,6 +34,7 @@
         exposition.addRequests(snapshot);
         exposition.addAttempts(snapshot);
         exposition.addConnections(snapshot);
+        exposition.addMessageMemory(snapshot);
         exposition.addProcess(process);
         exposition.addEndpoints(snapshot.fleet());
         ByteArrayOutputStream out = new ByteArrayOutputStream(TYPICAL_BYTES);
@@ -140,6 +141,13 @@
                 snapshot.descriptorLimit());
     }
 
+    private void addMessageMemory(Snapshot snapshot) {
+        families.gauge(
+                "trailthread_message_memory_bytes",
+                "Memory held by requests and responses.",
+                snapshot.messageMemoryBytes());
+    }
+
     private void addProcess(ProcessMetrics process) {
         families.gaugeIfKnown(
                 "process_open_fds", "Open file descriptors.", process.openDescriptors());
--- a/daemon/src/main/java/trailthread/daemon/admin/NodeMetrics.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/NodeMetrics.java
@@ -193,6 +193,7 @@
                 timerLateness.copy(),
                 new LinkedHashMap<>(status.clientConnections()),
                 new LinkedHashMap<>(status.endpointConnections()),
+                status.messageMemoryBytes(),
                 status.descriptorLimit(),
                 FleetMetrics.summarize(endpoints.values(), MAX_SEPARATE_ENDPOINTS));
     }
--- a/daemon/src/main/java/trailthread/daemon/admin/Snapshot.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/Snapshot.java
@@ -21,6 +21,7 @@
  * @param timerLateness how late the periodic timer ran
  * @param clientConnections the number of connections to clients, by state
  * @param endpointConnections the number of connections to endpoints, by state
+ * @param messageMemoryBytes how many bytes of the memory budget requests and responses hold
  * @param descriptorLimit the maximum number of file descriptors of the node
  * @param fleet the metrics of the endpoints
  */
@@ -38,5 +39,6 @@
         DurationHistogram timerLateness,
         Map<String, Integer> clientConnections,
         Map<String, Integer> endpointConnections,
+        long messageMemoryBytes,
         int descriptorLimit,
         FleetMetrics fleet) {}
--- a/daemon/src/main/java/trailthread/daemon/listener/BodyBuffer.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/BodyBuffer.java
@@ -2,15 +2,16 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import trailthread.engine.quota.MemoryReservation;
 
-/** Buffers a request's body in memory that is reserved from a {@link BodyMemoryLimit}. */
+/** Buffers a request's body in memory that is reserved from the request's reservation. */
 final class BodyBuffer {
     static final byte[] EMPTY = new byte[0];
 
     /** Initial capacity for a body of unknown length. */
     private static final int INITIAL_CAPACITY_BYTES = 1024;
 
-    private final BodyMemoryLimit memory;
+    private final MemoryReservation memory;
 
     /** The body's declared length in bytes; -1 if the client declares none. */
     private final long declaredLength;
@@ -19,9 +20,13 @@
     private int length;
     private long reservedBytes;
 
-    BodyBuffer(BodyMemoryLimit memory, long declaredLength) {
+    /**
+     * @param memory holds what {@link RequestMemory#reservedAtHead} names for the body
+     */
+    BodyBuffer(MemoryReservation memory, long declaredLength) {
         this.memory = memory;
         this.declaredLength = declaredLength;
+        reservedBytes = RequestMemory.reservedAtHead(declaredLength);
     }
 
     /**
@@ -49,39 +54,30 @@
             long doubled = Math.max(2L * content.length, INITIAL_CAPACITY_BYTES);
             capacity = Math.min(BodyReader.MAX_BODY_BYTES, Math.max(minBytes, doubled));
         }
-        long reservation = BodyMemoryLimit.reservationFor(capacity);
-        if (!memory.tryReserve(reservation)) {
+        long missing = Math.max(0, capacity + content.length - reservedBytes);
+        if (!memory.tryGrow(RequestMemory.useFor(capacity), missing)) {
             return false;
         }
+        reservedBytes += missing;
         content = Arrays.copyOf(content, (int) capacity);
-        memory.release(reservedBytes);
-        reservedBytes = reservation;
+        shrinkReservation(capacity);
         return true;
     }
 
-    /**
-     * Returns a copy of the content followed by bytes that did not fit; releases the reservation.
-     */
-    ByteBuffer takeContentWith(ByteBuffer bytes) {
-        ByteBuffer all =
-                ByteBuffer.allocate(length + bytes.remaining())
-                        .put(content, 0, length)
-                        .put(bytes)
-                        .flip();
-        release();
-        return all;
+    private void shrinkReservation(long bytes) {
+        memory.shrink(reservedBytes - bytes);
+        reservedBytes = bytes;
     }
 
-    /**
-     * Returns the complete body and keeps no reference to it. The caller must release {@link
-     * BodyMemoryLimit#reservationFor} its length.
-     */
+    /** Returns the buffered content, which stays reserved until {@link #release}. */
+    ByteBuffer content() {
+        return ByteBuffer.wrap(content, 0, length);
+    }
+
+    /** Returns the complete body and keeps no reference to it. Its length stays reserved. */
     byte[] takeBody() {
-        byte[] body = content;
-        if (content.length > length) {
-            body = Arrays.copyOf(content, length);
-            memory.release(reservedBytes - BodyMemoryLimit.reservationFor(length));
-        }
+        byte[] body = content.length > length ? Arrays.copyOf(content, length) : content;
+        shrinkReservation(length);
         content = EMPTY;
         reservedBytes = 0;
         return body;
@@ -89,8 +85,7 @@
 
     /** Discards the content and releases its reservation. */
     void release() {
-        memory.release(reservedBytes);
-        reservedBytes = 0;
+        shrinkReservation(0);
         content = EMPTY;
         length = 0;
     }
--- a/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
@@ -6,6 +6,8 @@
 import io.undertow.server.protocol.http.HttpContinue;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -54,6 +56,9 @@
 
     private static final long NS_PER_SECOND = 1_000_000_000L;
 
+    /** The longest piece of the bytes received before streaming that a sink is given at once. */
+    private static final int MAX_PIECE_BYTES = 16 * 1024;
+
     /** How often the deadline is checked while reading is paused. */
     private static final long PAUSED_CHECK_INTERVAL_NS = 1_000_000_000L;
 
@@ -76,8 +81,8 @@
     /** The body is complete, aborted or stopped: nothing more is read. */
     private boolean done;
 
-    /** What was received before streaming started; null once it is given to the sink. */
-    private ByteBuffer receivedBeforeStream;
+    /** What was received before streaming started and is still to be given to the sink. */
+    private final Deque<ByteBuffer> receivedBeforeStream = new ArrayDeque<>();
 
     private ByteSink sink;
 
@@ -94,21 +99,23 @@
      *     time that each received byte adds
      * @param buffered whether to buffer the body; if not, it is discarded and the receiver gets an
      *     empty one
-     * @param memory where a long body's bytes are reserved; this reader releases them if it does
-     *     not hand the body over
+     * @param memory where a buffered body is reserved
      */
     BodyReader(
             EventLoop loop,
             HttpServerExchange exchange,
             long deadlineWithoutBody,
             boolean buffered,
-            BodyMemoryLimit memory,
+            RequestMemory memory,
             Receiver receiver) {
         this.loop = loop;
         this.exchange = exchange;
         this.deadlineWithoutBody = deadlineWithoutBody;
         this.receiver = receiver;
-        buffer = buffered ? new BodyBuffer(memory, exchange.getRequestContentLength()) : null;
+        buffer =
+                buffered
+                        ? new BodyBuffer(memory.reservation(), exchange.getRequestContentLength())
+                        : null;
         channel = exchange.getRequestChannel();
         deadlineTimer =
                 loop.scheduleAfterReading(deadlineWithoutBody - loop.now(), this::checkDeadline);
@@ -224,7 +231,8 @@
             return true;
         }
         if (!buffer.append(bytes)) {
-            receivedBeforeStream = buffer.takeContentWith(bytes);
+            receivedBeforeStream.add(buffer.content());
+            receivedBeforeStream.add(ByteBuffer.allocate(bytes.remaining()).put(bytes).flip());
             pause();
             receiver.stream(this);
             return false;
@@ -271,16 +279,33 @@
     @Override
     public void streamTo(ByteSink to) {
         sink = to;
-        ByteBuffer first = receivedBeforeStream;
-        receivedBeforeStream = null;
-        if (sink.writePiece(first)) {
-            resume();
+        resume();
+    }
+
+    /**
+     * Gives the sink what was received before streaming started, in pieces that cost it little
+     * memory; returns whether the sink has capacity for more.
+     */
+    private boolean giveReceivedBeforeStream() {
+        while (!receivedBeforeStream.isEmpty()) {
+            ByteBuffer received = receivedBeforeStream.element();
+            int count = Math.min(received.remaining(), MAX_PIECE_BYTES);
+            ByteBuffer piece = received.slice(received.position(), count);
+            received.position(received.position() + count);
+            if (!received.hasRemaining()) {
+                receivedBeforeStream.remove();
+            }
+            if (!sink.writePiece(piece)) {
+                return false;
+            }
         }
+        releaseBuffer();
+        return true;
     }
 
     @Override
     public void resume() {
-        if (!done) {
+        if (!done && giveReceivedBeforeStream()) {
             deadlineWithoutBody += loop.now() - pausedAt; // the pause is not the client's fault
             pausedAt = 0;
             readAvailable();
@@ -290,7 +315,8 @@
     @Override
     public void stop() {
         deadlineTimer.remove();
-        receivedBeforeStream = null;
+        receivedBeforeStream.clear();
+        releaseBuffer();
         if (!done) {
             done = true;
             channel.suspendReads();
--- a/daemon/src/main/java/trailthread/daemon/listener/ClientConnection.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/ClientConnection.java
@@ -31,6 +31,9 @@
     /** When the first byte of an incomplete request arrived; {@link #NO_BYTES} if none has. */
     private long receivingSince = NO_BYTES;
 
+    /** Runs once the connection does not use the current request any more; null if it has run. */
+    private Runnable onRequestEnd;
+
     /** Wraps the connection's source conduit; times are those of the loop, in nanoseconds. */
     ClientConnection(StreamConnection connection, EventLoop loop) {
         super(connection.getSourceChannel().getConduit());
@@ -69,6 +72,20 @@
         this.owner = owner;
     }
 
+    /** Sets what runs once, when the next response is written or the connection is closed. */
+    void setOnRequestEnd(Runnable onRequestEnd) {
+        this.onRequestEnd = onRequestEnd;
+    }
+
+    /** Records that the response has been written, or that the connection is closed. */
+    void requestEnded() {
+        Runnable task = onRequestEnd;
+        onRequestEnd = null;
+        if (task != null) {
+            task.run();
+        }
+    }
+
     boolean isOpen() {
         return connection.isOpen();
     }
--- a/daemon/src/main/java/trailthread/daemon/listener/ClientConnections.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/ClientConnections.java
@@ -136,6 +136,7 @@
      * @param persistent whether the connection may carry another request
      */
     void responseWritten(ClientConnection client, boolean persistent) {
+        client.requestEnded();
         if (!busy.remove(client) || !client.isOpen()) {
             return;
         }
@@ -148,6 +149,7 @@
     }
 
     void closed(ClientConnection client) {
+        client.requestEnded();
         silent.remove(client);
         idle.remove(client);
         busy.remove(client);
--- a/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
@@ -172,6 +172,11 @@
         return connections.byState();
     }
 
+    /** Returns how many bytes of the memory budget requests and responses hold. */
+    public long messageMemoryBytes() {
+        return receiver.messageMemoryBytes();
+    }
+
     /** Sets whether the node is able to serve clients. */
     public void setReady(boolean ready) {
         this.ready = ready;
--- a/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
@@ -17,6 +17,8 @@
 import trailthread.engine.http.EndToEndHeaders;
 import trailthread.engine.loop.EventLoop;
 import trailthread.engine.loop.Seconds;
+import trailthread.engine.quota.MemoryBudget;
+import trailthread.engine.quota.MemoryBudget.Use;
 import trailthread.engine.request.ClientResponse;
 
 /** Writes the response to one request over HTTP, and detects when its client disconnects. */
@@ -33,8 +35,8 @@
     private final HttpServerExchange exchange;
     private final boolean forwardsEndpointHeaders;
     private final BooleanSupplier isLastOnConnection;
-    private final BodyMemoryLimit memory;
-    private final Runnable onReleased;
+    private final MemoryBudget budget;
+    private final RequestMemory memory;
     private final Runnable stopBody;
 
     /** The response has started, or the client disconnected before it could. */
@@ -51,8 +53,8 @@
      *
      * @param forwardsEndpointHeaders whether the client gets the endpoint's headers
      * @param isLastOnConnection whether the connection is closed after this response
-     * @param memory where memory is reserved for pipelined bytes that exceed a pooled buffer
-     * @param onReleased runs once no part of the request is in use any more
+     * @param budget where memory is reserved for pipelined bytes that exceed a pooled buffer
+     * @param memory what the request and this response hold of the budget
      * @param stopBody runs before a response to a request whose body is incomplete
      */
     HttpResponseWriter(
@@ -60,15 +62,15 @@
             HttpServerExchange exchange,
             boolean forwardsEndpointHeaders,
             BooleanSupplier isLastOnConnection,
-            BodyMemoryLimit memory,
-            Runnable onReleased,
+            MemoryBudget budget,
+            RequestMemory memory,
             Runnable stopBody) {
         this.loop = loop;
         this.exchange = exchange;
         this.forwardsEndpointHeaders = forwardsEndpointHeaders;
         this.isLastOnConnection = isLastOnConnection;
+        this.budget = budget;
         this.memory = memory;
-        this.onReleased = onReleased;
         this.stopBody = stopBody;
     }
 
@@ -86,7 +88,9 @@
         if (length >= 0) {
             exchange.setResponseContentLength(length);
         }
-        streamed = new StreamedResponse(loop, exchange, onWritable, onDisconnect);
+        streamed =
+                new StreamedResponse(
+                        loop, exchange, memory.reservation(), onWritable, onDisconnect);
         return streamed;
     }
 
@@ -106,9 +110,24 @@
         }
     }
 
+    @Override
+    public boolean tryReserveMemory(long bytes) {
+        return memory.reservation().tryGrow(Use.RESPONSE, bytes);
+    }
+
+    @Override
+    public void releaseMemory(long bytes) {
+        memory.reservation().shrink(bytes);
+    }
+
+    @Override
+    public void onBodyReleased() {
+        memory.bodyReleased();
+    }
+
     @Override
     public void onReleased() {
-        onReleased.run();
+        memory.engineEnded();
     }
 
     @Override
@@ -195,7 +214,7 @@
     private void readPipelined(AbstractServerConnection connection) {
         boolean open;
         try {
-            open = PipelinedBytes.read(connection, memory);
+            open = PipelinedBytes.read(connection, budget);
         } catch (IOException e) {
             open = false; // a connection that can't be read counts as closed
         }
--- a/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
@@ -7,22 +7,25 @@
 import java.nio.ByteBuffer;
 import org.xnio.conduits.StreamSourceConduit;
 import trailthread.engine.loop.EventLoop;
+import trailthread.engine.quota.MemoryBudget;
+import trailthread.engine.quota.MemoryBudget.Use;
+import trailthread.engine.quota.MemoryReservation;
 
 /**
  * Buffer for bytes that a client has pipelined behind a request in flight, when they exceed a
  * pooled buffer. Undertow reads the next requests on the connection from it. Its memory is reserved
- * from the limit on long bodies.
+ * from the budget of all messages.
  */
 final class PipelinedBytes implements PooledByteBuffer {
     /** The maximum buffered for one connection; further bytes stay in its socket. */
     private static final int MAX_BYTES = 256 * 1024;
 
-    private final BodyMemoryLimit memory;
+    private final MemoryReservation memory;
 
     /** Null once closed. */
     private ByteBuffer bytes;
 
-    private PipelinedBytes(BodyMemoryLimit memory, ByteBuffer bytes) {
+    private PipelinedBytes(MemoryReservation memory, ByteBuffer bytes) {
         this.memory = memory;
         this.bytes = bytes;
     }
@@ -33,7 +36,7 @@
      * lost. A late loop may not have read them yet, so this reads the socket first, unless it still
      * holds the request's own body.
      */
-    static boolean hasPipelined(HttpServerExchange exchange, BodyMemoryLimit memory) {
+    static boolean hasPipelined(HttpServerExchange exchange, MemoryBudget memory) {
         if (!(exchange.getConnection() instanceof AbstractServerConnection connection)) {
             return false;
         }
@@ -55,7 +58,7 @@
      * @return false if the end of the stream was read: the client has closed its side
      * @throws IOException if the connection is broken
      */
-    static boolean read(AbstractServerConnection connection, BodyMemoryLimit memory)
+    static boolean read(AbstractServerConnection connection, MemoryBudget memory)
             throws IOException {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
@@ -80,7 +83,7 @@
     }
 
     /** Returns how many more bytes can be kept; enlarges the buffer if it is full. */
-    private static int freeBytes(AbstractServerConnection connection, BodyMemoryLimit memory) {
+    private static int freeBytes(AbstractServerConnection connection, MemoryBudget memory) {
         PooledByteBuffer kept = connection.getExtraBytes();
         if (kept == null) {
             return Integer.MAX_VALUE; // a new pooled buffer holds all that one read returns
@@ -118,14 +121,15 @@
      * Moves the bytes to a buffer of twice the size. Returns null, with nothing moved, if that
      * exceeds a limit.
      */
-    private static PipelinedBytes moveToDoubled(PooledByteBuffer kept, BodyMemoryLimit memory) {
+    private static PipelinedBytes moveToDoubled(PooledByteBuffer kept, MemoryBudget memory) {
         int capacity = 2 * kept.getBuffer().capacity();
-        if (capacity > MAX_BYTES || !memory.tryReserve(capacity)) {
+        MemoryReservation reservation = memory.newReservation();
+        if (capacity > MAX_BYTES || !reservation.tryGrow(Use.OPTIONAL, capacity)) {
             return null;
         }
         ByteBuffer bytes = ByteBuffer.allocate(capacity).put(kept.getBuffer()).flip();
         kept.close();
-        return new PipelinedBytes(memory, bytes);
+        return new PipelinedBytes(reservation, bytes);
     }
 
     @Override
@@ -141,7 +145,7 @@
     @Override
     public void close() {
         if (isOpen()) {
-            memory.release(bytes.capacity());
+            memory.release();
             bytes = null;
         }
     }
--- a/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
@@ -12,6 +12,7 @@
 import trailthread.engine.loop.EventLoop;
 import trailthread.engine.metrics.MetricsRecorder;
 import trailthread.engine.metrics.RejectionReason;
+import trailthread.engine.quota.MemoryBudget;
 import trailthread.engine.request.ClientRequest;
 
 /**
@@ -19,18 +20,15 @@
  * them to their handlers or rejects them.
  */
 final class RequestReceiver implements HttpHandler {
-    /**
-     * The share of the heap that all long bodies together may use; they then fill most of the
-     * heap's old generation.
-     */
-    private static final double BODIES_HEAP_SHARE = 0.3;
+    /** The share of the heap for messages; the rest is for lists, connections and statistics. */
+    private static final double MESSAGES_HEAP_SHARE = 0.45;
 
     private final EventLoop loop;
     private final ClientConnections connections;
     private final MetricsRecorder metrics;
     private final BooleanSupplier isReady;
-    private final BodyMemoryLimit bodyMemory =
-            new BodyMemoryLimit((long) (BODIES_HEAP_SHARE * Runtime.getRuntime().maxMemory()));
+    private final MemoryBudget budget =
+            new MemoryBudget((long) (MESSAGES_HEAP_SHARE * Runtime.getRuntime().maxMemory()));
     private RequestFrontend frontend;
 
     RequestReceiver(
@@ -54,6 +52,10 @@
         this.frontend = frontend;
     }
 
+    long messageMemoryBytes() {
+        return budget.reservedBytes();
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long deadlineWithoutBody = track(exchange);
@@ -69,7 +71,7 @@
             reject(exchange, RejectionReason.TOO_LARGE);
             return;
         }
-        pending.reserveBodyMemory();
+        pending.reserveMemory();
         exchange.dispatch(SameThreadExecutor.INSTANCE, pending::readBody);
     }
 
@@ -90,7 +92,7 @@
     /** Whether the connection is closed after this response. */
     private boolean isLastOnConnection(HttpServerExchange exchange) {
         return connections.shouldCloseAfterResponse(ClientConnection.fromExchange(exchange))
-                && !PipelinedBytes.hasPipelined(exchange, bodyMemory);
+                && !PipelinedBytes.hasPipelined(exchange, budget);
     }
 
     /**
@@ -125,6 +127,9 @@
         /** Bytes that the handler has reserved for the body, or {@link Handler#NOT_RESERVED}. */
         private long reservedBytes = Handler.NOT_RESERVED;
 
+        /** What is reserved of the budget; nothing if the body is discarded. */
+        private RequestMemory memory = RequestMemory.none(budget);
+
         PendingRequest(HttpServerExchange exchange, long deadlineWithoutBody) {
             this.exchange = exchange;
             this.deadlineWithoutBody = deadlineWithoutBody;
@@ -132,19 +137,29 @@
             head = decodedBy.decode(exchange);
         }
 
-        /** Reserves memory for the body, if the request has a handler. */
-        void reserveBodyMemory() {
+        /** Reserves memory for the request, if it has a handler. */
+        void reserveMemory() {
             if (head.request() == null) {
-                reservedBytes = Handler.NOT_RESERVED;
                 return;
             }
+            RequestMemory admitted =
+                    RequestMemory.tryAdmit(budget, exchange.getRequestContentLength());
+            if (admitted == null) {
+                return;
+            }
+            memory = admitted;
+            ClientConnection.fromExchange(exchange).setOnRequestEnd(memory::connectionEnded);
+            reserveFromHandler();
+        }
+
+        private void reserveFromHandler() {
             long bytes = bodyReservation(exchange);
             reservedBytes = head.handler().reserveBody(bytes) ? bytes : Handler.NOT_RESERVED;
         }
 
         void readBody() {
             boolean buffered = reservedBytes != Handler.NOT_RESERVED;
-            new BodyReader(loop, exchange, deadlineWithoutBody, buffered, bodyMemory, this).read();
+            new BodyReader(loop, exchange, deadlineWithoutBody, buffered, memory, this).read();
         }
 
         @Override
@@ -158,9 +173,6 @@
                 return;
             }
             releaseReservation();
-            if (body != null) {
-                bodyMemory.release(BodyMemoryLimit.reservationFor(body.length));
-            }
             reject(exchange, rejection);
         }
 
@@ -169,8 +181,9 @@
             releaseReservation();
             head = frontend.decode(exchange);
             boolean discarded = reservedBytes == Handler.NOT_RESERVED;
-            if (!discarded) {
-                reserveBodyMemory();
+            reservedBytes = Handler.NOT_RESERVED;
+            if (!discarded && head.request() != null) {
+                reserveFromHandler();
             }
         }
 
@@ -192,8 +205,7 @@
         }
 
         private void handle(ClientRequest request) {
-            long bodyBytes = BodyMemoryLimit.reservationFor(request.body().length);
-            HttpResponseWriter response = responseWriter(bodyBytes, () -> {});
+            HttpResponseWriter response = responseWriter(request.body().length, () -> {});
             // The time left counts from the request's last byte, which may have arrived while the
             // loop was late.
             long deadline = loop.arrivedNotBefore() + request.timeLeftNs();
@@ -225,14 +237,15 @@
         }
 
         private HttpResponseWriter responseWriter(long bodyBytes, Runnable stopBody) {
+            memory.engineStarts(bodyBytes);
             ClientConnection.fromExchange(exchange).setOwner(head.handler().owner());
             return new HttpResponseWriter(
                     loop,
                     exchange,
                     head.forwardsEndpointHeaders(),
                     () -> isLastOnConnection(exchange),
-                    bodyMemory,
-                    () -> bodyMemory.release(bodyBytes),
+                    budget,
+                    memory,
                     stopBody);
         }
 
@@ -250,6 +263,6 @@
             return length;
         }
         boolean hasBody = exchange.getRequestHeaders().contains(Headers.TRANSFER_ENCODING);
-        return hasBody ? BodyMemoryLimit.SHORT_BODY_BYTES : 0;
+        return hasBody ? RequestMemory.SHORT_BODY_BYTES : 0;
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
@@ -8,6 +8,7 @@
 import org.xnio.channels.StreamSinkChannel;
 import trailthread.engine.http.ByteSink;
 import trailthread.engine.loop.EventLoop;
+import trailthread.engine.quota.MemoryReservation;
 
 /**
  * Streams a long response to a client. Bytes that the client does not accept at once are kept, and
@@ -22,6 +23,7 @@
     private final EventLoop loop;
     private final HttpServerExchange exchange;
     private final StreamSinkChannel channel;
+    private final MemoryReservation memory;
     private final Runnable onWritable;
     private final Runnable onDisconnect;
 
@@ -46,16 +48,19 @@
     /**
      * Starts to stream the body of a response whose status and headers have been set.
      *
+     * @param memory counts the bytes that the client has yet to accept
      * @param onWritable runs when the client accepts bytes again
      * @param onDisconnect runs if the client disconnects before the last byte is passed on
      */
     StreamedResponse(
             EventLoop loop,
             HttpServerExchange exchange,
+            MemoryReservation memory,
             Runnable onWritable,
             Runnable onDisconnect) {
         this.loop = loop;
         this.exchange = exchange;
+        this.memory = memory;
         this.onWritable = onWritable;
         this.onDisconnect = onDisconnect;
         channel = exchange.getResponseChannel();
@@ -97,11 +102,11 @@
 
     /** Appends to the kept bytes, as one read from the endpoint may yield several pieces. */
     private void keepUnwritten(ByteBuffer piece) {
-        unwritten =
-                ByteBuffer.allocate(unwritten.remaining() + piece.remaining())
-                        .put(unwritten)
-                        .put(piece)
-                        .flip();
+        int held = unwritten.capacity();
+        int needed = unwritten.remaining() + piece.remaining();
+        memory.growHeld(needed);
+        unwritten = ByteBuffer.allocate(needed).put(unwritten).put(piece).flip();
+        memory.shrink(held);
     }
 
     @Override
@@ -116,6 +121,7 @@
     public void abortBody() {
         if (!closed) {
             close();
+            dropUnwritten();
             IoUtils.safeClose(exchange.getConnection());
         }
     }
@@ -128,7 +134,7 @@
             if (unwritten != null && !write(unwritten)) {
                 return;
             }
-            unwritten = null;
+            dropUnwritten();
             if (endReached) {
                 finish();
             } else {
@@ -140,6 +146,13 @@
         }
     }
 
+    private void dropUnwritten() {
+        if (unwritten != null) {
+            memory.shrink(unwritten.capacity());
+            unwritten = null;
+        }
+    }
+
     private void finish() {
         try {
             channel.shutdownWrites();
@@ -163,7 +176,7 @@
             return;
         }
         close();
-        unwritten = null;
+        dropUnwritten();
         IoUtils.safeClose(exchange.getConnection());
         if (!endReached) {
             loop.execute(onDisconnect);
--- a/daemon/src/main/java/trailthread/daemon/listener/UnboundedHandler.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/UnboundedHandler.java
@@ -22,6 +22,8 @@
     @Override
     public Runnable handle(
             ClientRequest request, long deadline, ClientResponse response, long reservedBytes) {
-        return handler.handle(request, deadline, response);
+        return reservedBytes == NOT_RESERVED
+                ? handler.handleUnadmitted(request, deadline, response)
+                : handler.handle(request, deadline, response);
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -265,6 +265,11 @@
         return pools.endpointConnections();
     }
 
+    @Override
+    public long messageMemoryBytes() {
+        return listener.messageMemoryBytes();
+    }
+
     @Override
     public int avoidedEndpoints() {
         return pools.avoidedEndpoints();
--- a/daemon/src/test/java/trailthread/daemon/AdminServerOffTest.java
+++ b/daemon/src/test/java/trailthread/daemon/AdminServerOffTest.java
@@ -84,6 +84,11 @@
             return Map.of();
         }
 
+        @Override
+        public long messageMemoryBytes() {
+            return 0;
+        }
+
         @Override
         public int avoidedEndpoints() {
             return 0;
--- a/daemon/src/test/java/trailthread/daemon/admin/FixedNodeStatus.java
+++ b/daemon/src/test/java/trailthread/daemon/admin/FixedNodeStatus.java
@@ -36,6 +36,11 @@
         return Map.of("idle", 1);
     }
 
+    @Override
+    public long messageMemoryBytes() {
+        return 4096;
+    }
+
     @Override
     public int avoidedEndpoints() {
         return 7;
--- a/daemon/src/test/java/trailthread/daemon/admin/MetricsExpositionTest.java
+++ b/daemon/src/test/java/trailthread/daemon/admin/MetricsExpositionTest.java
@@ -134,6 +134,7 @@
                         "trailthread_level_start_time_seconds 2.5",
                         "trailthread_reading{reading=\"lateness_seconds\"} 0.25",
                         "trailthread_client_connections{state=\"busy\"} 2.0",
+                        "trailthread_message_memory_bytes 4096.0",
                         "trailthread_descriptors_limit 1024.0",
                         "trailthread_workers{state=\"draining\"} 1.0",
                         "trailthread_worker_queue{worker=\"w\\\\\\\"\\n0\"} 7.0",
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -24,9 +24,10 @@
     private static final long MAX_BODY_BYTES = 32 * 1024 * 1024;
 
     /**
-     * A longer request body is written from its own array, instead of being copied after the head.
+     * A longer request body is written from its own array, instead of being copied after the head
+     * to be sent in the same packet.
      */
-    private static final int MAX_COPIED_BODY_BYTES = 64 * 1024;
+    private static final int MAX_COPIED_BODY_BYTES = 8 * 1024;
 
     private final EventLoop loop;
     private final ConnectionPool connections;
@@ -35,7 +36,7 @@
     /** Null: the endpoint is not in the list. */
     private final PooledEndpoint endpoint;
 
-    private final EndpointRequest request;
+    private EndpointRequest request;
     private final AttemptListener listener;
     private final long startedAt;
 
@@ -321,6 +322,9 @@
     /** Cancels the attempt's timeout: from now on only a silent endpoint ends the response. */
     void streamingStarted() {
         cancelTimeout();
+        if (isRequestSent()) {
+            request = request.withoutBody();
+        }
     }
 
     /** Stops reading the response until {@link #resumeReading}. */
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptListener.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptListener.java
@@ -13,6 +13,18 @@
     /** The request's last byte has been written. */
     default void requestSent() {}
 
+    /**
+     * Reserves memory to buffer the response in.
+     *
+     * @return false if there is none left: the response must be streamed
+     */
+    default boolean tryReserveMemory(long bytes) {
+        return true;
+    }
+
+    /** Releases a part of the reserved memory. */
+    default void releaseMemory(long bytes) {}
+
     /**
      * A long response has started. It is streamed, and the attempt lasts until the response ends.
      *
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
@@ -94,7 +94,8 @@
 
     /** Returns the response with the buffered part of its body. */
     EndpointResponse toEndpointResponse() {
-        byte[] body = Arrays.copyOf(buffer, bufferedBytes);
+        boolean isFull = buffer.length == bufferedBytes;
+        byte[] body = isFull ? buffer : Arrays.copyOf(buffer, bufferedBytes);
         return forwardedHeaders == null
                 ? EndpointResponse.of(body)
                 : new EndpointResponse(head.status(), forwardedHeaders, body);
@@ -108,8 +109,7 @@
         if (bufferedBytes == 0 && !isStreaming() && length == UNKNOWN_LENGTH) {
             bufferTimer = loop.schedule(MAX_BUFFERED_NS, this::startStreaming);
         }
-        if (!isStreaming() && fitsBuffer(piece)) {
-            buffer(piece);
+        if (!isStreaming() && fitsBuffer(piece) && buffer(piece)) {
             return;
         }
         if (!isStreaming() && !startStreaming()) {
@@ -124,15 +124,21 @@
                 && length <= MAX_BUFFERED_BYTES;
     }
 
-    private void buffer(ByteBuffer piece) {
+    /** Appends to the buffer; returns false if there is no memory for it. */
+    private boolean buffer(ByteBuffer piece) {
         int count = piece.remaining();
         int needed = bufferedBytes + count;
         if (needed > buffer.length) {
-            int grown = Math.max(INITIAL_BUFFER_BYTES, 2 * buffer.length);
-            buffer = Arrays.copyOf(buffer, Math.max(grown, needed));
+            int doubled = Math.max(INITIAL_BUFFER_BYTES, 2 * buffer.length);
+            int capacity = Math.max(doubled, needed);
+            if (!listener.tryReserveMemory(capacity - buffer.length)) {
+                return false;
+            }
+            buffer = Arrays.copyOf(buffer, capacity);
         }
         piece.get(buffer, bufferedBytes, count);
         bufferedBytes = needed;
+        return true;
     }
 
     /**
@@ -152,13 +158,18 @@
         silenceTimer = loop.schedule(MAX_SILENCE_NS, this::resetIfSilent);
         if (bufferedBytes > 0) {
             ByteBuffer buffered = ByteBuffer.wrap(buffer, 0, bufferedBytes);
-            buffer = NO_BYTES;
             bufferedBytes = 0;
             streamPiece(buffered);
+            releaseBuffer();
         }
         return !attempt.hasEnded();
     }
 
+    private void releaseBuffer() {
+        listener.releaseMemory(buffer.length);
+        buffer = NO_BYTES;
+    }
+
     private void streamPiece(ByteBuffer piece) {
         sinkHasCapacity = sink.writePiece(piece);
         if (!sinkHasCapacity) {
@@ -196,6 +207,9 @@
         } else if (isStreaming()) {
             sink.abortBody();
         }
+        if (!isComplete) {
+            releaseBuffer();
+        }
         bufferTimer = AttemptExchange.cancelTimer(bufferTimer);
         silenceTimer = AttemptExchange.cancelTimer(silenceTimer);
     }
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointRequest.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointRequest.java
@@ -46,6 +46,22 @@
         this(id, requestClass, method, target, idempotencyKey, body, forwardedHeaders, null, 0);
     }
 
+    private static final byte[] NO_BODY = {};
+
+    /** Returns the request without its buffered body, once that is not sent again. */
+    public EndpointRequest withoutBody() {
+        return new EndpointRequest(
+                id,
+                requestClass,
+                method,
+                target,
+                idempotencyKey,
+                NO_BODY,
+                forwardedHeaders,
+                bodySource,
+                timeoutAfterBodyNs);
+    }
+
     /** Returns whether the response has no body, whatever its Content-Length (RFC 9110, 9.3.2). */
     boolean isHeadRequest() {
         return method.equals("HEAD");
--- a/engine/src/main/java/trailthread/engine/http/RequestWriter.java
+++ b/engine/src/main/java/trailthread/engine/http/RequestWriter.java
@@ -28,6 +28,8 @@
      */
     private static final int MAX_WRITE_BYTES = 64 * 1024;
 
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
     private final EventLoop loop;
     private final ConduitStreamSinkChannel channel;
     private final Listener listener;
@@ -77,6 +79,7 @@
             if (streamedBody != null && !streamedBody.write()) {
                 return;
             }
+            body = null;
             if (head != null) {
                 listener.requestSent();
             }
@@ -131,8 +134,9 @@
         return isRequestSent() && (streamedBody == null || streamedBody.hasEnded());
     }
 
-    /** Handles the end of the response: another request may follow. */
+    /** Handles the end of the response: another request may follow. Keeps none of this one. */
     void responseCompleted() {
+        head = NOTHING;
         streamedBody = null;
     }
 
--- a/engine/src/main/java/trailthread/engine/metrics/NodeStatus.java
+++ b/engine/src/main/java/trailthread/engine/metrics/NodeStatus.java
@@ -25,6 +25,9 @@
     /** Returns the number of connections to endpoints by state; each connection is in one state. */
     Map<String, Integer> endpointConnections();
 
+    /** Returns how many bytes of the memory budget requests and responses hold. */
+    long messageMemoryBytes();
+
     /** Returns the number of listed endpoints that the balancer avoids now. */
     int avoidedEndpoints();
 
--- a/engine/src/main/java/trailthread/engine/pool/Pool.java
+++ b/engine/src/main/java/trailthread/engine/pool/Pool.java
@@ -32,6 +32,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Pool.class);
     private static final DiscoveryUpdate NO_ENDPOINTS = new DiscoveryUpdate(0, true, List.of());
 
+    /** Used instead of a number of bytes if they could not be reserved. */
+    public static final long NOT_RESERVED = -1;
+
     private final EventLoop loop;
     private final PoolConfig config;
     private final SharedQuotas sharedQuotas;
@@ -181,18 +184,24 @@
         return handle(request, deadline, response, 0);
     }
 
+    @Override
+    public Runnable handleUnadmitted(
+            ClientRequest request, long deadline, ClientResponse response) {
+        return handle(request, deadline, response, NOT_RESERVED);
+    }
+
     /**
      * Admits a request. A request beyond the pool's quotas is also delivered to the balancer, which
      * rejects it.
      *
      * @param bodyBytes the number of bytes reserved for the request's body, which are released when
-     *     the request ends; -1: the quota did not allow them
+     *     the request ends; {@link #NOT_RESERVED}: the quota or the memory did not allow them
      */
     public Runnable handle(
             ClientRequest request, long deadline, ClientResponse response, long bodyBytes) {
         QuotaReleasingResponse releasing =
                 new QuotaReleasingResponse(response, quotas, Math.max(0, bodyBytes));
-        runCharged(() -> admit(request, deadline, releasing, bodyBytes >= 0));
+        runCharged(() -> admit(request, deadline, releasing, bodyBytes != NOT_RESERVED));
         return releasing;
     }
 
--- a/engine/src/main/java/trailthread/engine/pool/QuotaReleasingResponse.java
+++ b/engine/src/main/java/trailthread/engine/pool/QuotaReleasingResponse.java
@@ -59,6 +59,21 @@
                 response.beginStreaming(head, length, onCapacity, onDisconnect));
     }
 
+    @Override
+    public boolean tryReserveMemory(long bytes) {
+        return response.tryReserveMemory(bytes);
+    }
+
+    @Override
+    public void releaseMemory(long bytes) {
+        response.releaseMemory(bytes);
+    }
+
+    @Override
+    public void onBodyReleased() {
+        response.onBodyReleased();
+    }
+
     @Override
     public void reject(long retryAfterNs) {
         releaseQuota();
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -21,15 +21,17 @@
 final class ActiveRequest {
     private static final Logger LOG = LoggerFactory.getLogger(ActiveRequest.class);
 
+    private static final byte[] NO_BODY = {};
+
     private final RequestDispatcher dispatcher;
     private final BalancerDriver driver;
     private final MetricsRecorder metrics;
     private final long id;
-    private final ClientRequest client;
+    private ClientRequest client;
     private final long deadline;
     private final long admittedAt;
     private final ClientResponse response;
-    private final EndpointRequest endpointRequest;
+    private EndpointRequest endpointRequest;
     private XnioExecutor.Key deadlineTimer;
 
     /** The number of attempts so far; they are numbered from 0. */
@@ -171,6 +173,7 @@
             }
             finish();
             streaming = true;
+            releaseSentBody();
             ByteSink sink =
                     response.beginStreaming(
                             head, length, onCapacity, ActiveRequest.this::clientDisconnected);
@@ -178,6 +181,16 @@
             return sink;
         }
 
+        @Override
+        public boolean tryReserveMemory(long bytes) {
+            return response.tryReserveMemory(bytes);
+        }
+
+        @Override
+        public void releaseMemory(long bytes) {
+            response.releaseMemory(bytes);
+        }
+
         @Override
         public void attemptEnded(AttemptResult result) {
             attemptInFlight = null;
@@ -185,6 +198,15 @@
         }
     }
 
+    /** Drops the body once the response streams, after which the body is not sent again. */
+    private void releaseSentBody() {
+        if (client.bodySource() == null && attemptInFlight.isRequestSent()) {
+            client = client.withBody(NO_BODY);
+            endpointRequest = endpointRequest.withoutBody();
+            response.onBodyReleased();
+        }
+    }
+
     /**
      * Restarts the deadline timer once the last byte of a streamed body has been sent, as the
      * client's time counts from then.
--- a/engine/src/main/java/trailthread/engine/request/ClientResponse.java
+++ b/engine/src/main/java/trailthread/engine/request/ClientResponse.java
@@ -31,6 +31,22 @@
      */
     default void checkConnected() {}
 
+    /**
+     * Reserves memory to buffer the response in, until it is released here or the request and its
+     * response have ended.
+     *
+     * @return false if there is none left: the response must be streamed
+     */
+    default boolean tryReserveMemory(long bytes) {
+        return true;
+    }
+
+    /** Releases a part of the reserved memory. */
+    default void releaseMemory(long bytes) {}
+
+    /** Called when the engine no longer refers to the request's body, before the end. */
+    default void onBodyReleased() {}
+
     /**
      * Called once, after all other methods, when the engine no longer refers to the request or its
      * body: the request is answered or its client has disconnected, and no attempt is in flight.
--- a/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
@@ -23,6 +23,7 @@
 public final class RequestDispatcher implements RequestHandler {
     private static final Logger LOG = LoggerFactory.getLogger(RequestDispatcher.class);
     private static final long NS_PER_MS = 1_000_000L;
+    private static final Admission ADMIT_NONE = (requestClass, overQuota, random) -> false;
 
     private final EventLoop loop;
     private final EndpointPool endpoints;
@@ -48,6 +49,9 @@
 
     private boolean retired;
 
+    /** The host's admission rule; null: all requests are admitted. */
+    private Admission admission;
+
     /**
      * Creates a dispatcher without requests.
      *
@@ -168,6 +172,7 @@
 
     /** Sets which requests the balancer admits; null: all. */
     public void setAdmission(Admission admission) {
+        this.admission = admission;
         driver.deliver((balancer, now) -> balancer.setAdmission(admission));
     }
 
@@ -197,6 +202,14 @@
         return request::clientDisconnected;
     }
 
+    @Override
+    public Runnable handleUnadmitted(ClientRequest client, long deadline, ClientResponse response) {
+        driver.deliver((balancer, now) -> balancer.setAdmission(ADMIT_NONE));
+        Runnable onDisconnect = handle(client, deadline, response);
+        driver.deliver((balancer, now) -> balancer.setAdmission(admission));
+        return onDisconnect;
+    }
+
     @Override
     public boolean isOpen(String correlationId) {
         return requests.hasCorrelationId(correlationId);
--- a/engine/src/main/java/trailthread/engine/request/RequestHandler.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestHandler.java
@@ -11,6 +11,19 @@
      */
     Runnable handle(ClientRequest request, long deadline, ClientResponse response);
 
+    /**
+     * Handles a request that the host does not admit, as it has no memory for it. It is rejected;
+     * its body may have been discarded.
+     *
+     * @return a task to run if the client disconnects before the request is answered
+     */
+    default Runnable handleUnadmitted(
+            ClientRequest request, long deadline, ClientResponse response) {
+        response.reject(0);
+        response.onReleased();
+        return () -> {};
+    }
+
     /**
      * Returns whether a request with this correlation id is open. A second request with the same id
      * must not be handled while the first one is open.
--- a/testkit/src/main/java/trailthread/testkit/TestCluster.java
+++ b/testkit/src/main/java/trailthread/testkit/TestCluster.java
@@ -64,6 +64,9 @@
     /** The program's limit of file descriptors. */
     public int descriptorLimit = 256;
 
+    /** The program's limit of its heap. */
+    public int maxHeapMegabytes = 64;
+
     /** More top-level keys of a node's configuration, as JSON, each followed by a comma. */
     public String extraConfig = "";
 
@@ -163,7 +166,7 @@
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "-Xmx64m"));
+                        "-Xmx" + maxHeapMegabytes + "m"));
         command.addAll(arguments);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("LB_CONFIG", configFile.toString());
@@ -261,9 +264,14 @@
 
     /** Waits until the metrics of the admin server contain this line. */
     public void awaitMetricLine(String line) throws IOException, InterruptedException {
+        awaitMetricLine("/-/metrics", line);
+    }
+
+    /** Waits until the page of the admin server at this path contains this line. */
+    public void awaitMetricLine(String path, String line) throws IOException, InterruptedException {
         String metrics = "";
         for (int i = 0; i < MAX_POLLS; i++) {
-            metrics = sendAdminRequest("GET", "/-/metrics").body();
+            metrics = sendAdminRequest("GET", path).body();
             if (("\n" + metrics).contains("\n" + line + "\n")) {
                 return;
             }
