Let clients tell a response that was cut off, whatever cut it off

Cause: on a connection that is not kept open, Undertow frames a response of unknown length by the end of the connection, and the node ended it in order. Closing by reset there alone would not do: a process that is killed leaves the close to the kernel.

Change: a streamed response of unknown length goes in chunks to every client of HTTP/1.1. For a client of HTTP/1.0 the connection is set to close by reset (SO_LINGER 0) from the first byte to the last, so that every close in between resets it, also that of a client that takes nothing for 10 s and that of the kernel after SIGKILL. StreamedResponse owns both.

Ruled out: responses with a length and those up to 64 KiB (always sent with a length) can be told; HEAD, 204 and 304 are never streamed; towards servers a body that breaks off lacks its last chunk or bytes of its length.

--- a/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
@@ -85,15 +85,28 @@
             EndpointResponse head, long length, Runnable onWritable, Runnable onDisconnect) {
         forwardHeaders(head);
         start(head.status());
-        if (length >= 0) {
-            exchange.setResponseContentLength(length);
-        }
+        setFraming(length);
         streamed =
                 new StreamedResponse(
                         loop, exchange, memory.reservation(), onWritable, onDisconnect);
         return streamed;
     }
 
+    /**
+     * Frames a streamed body so that the client can tell whether it is complete. Undertow itself
+     * would let the end of a connection that is not kept open end the body (RFC 9112, 6.3).
+     *
+     * @param length the length of the body in bytes; -1: not known
+     */
+    private void setFraming(long length) {
+        if (length >= 0) {
+            exchange.setResponseContentLength(length);
+        } else if (exchange.isHttp11()) {
+            exchange.getResponseHeaders()
+                    .put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
+    }
+
     private void forwardHeaders(EndpointResponse response) {
         HeaderMap from = response.headers();
         if (from == null || !forwardsEndpointHeaders) {
--- a/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
@@ -1,9 +1,15 @@
 package trailthread.daemon.listener;
 
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import trailthread.engine.http.ByteSink;
@@ -13,8 +19,14 @@
 /**
  * Streams a long response to a client. Bytes that the client does not accept at once are kept, and
  * until it accepts them no further bytes are requested from the source.
+ *
+ * <p>The client can always tell a response that is not complete. If neither a length nor chunks
+ * frame it, as for a client of HTTP/1.0, the connection is set to end in a reset until the last
+ * byte is passed on, whatever closes it: this class, another one, or the end of the process.
  */
 final class StreamedResponse implements ByteSink {
+    private static final Logger LOG = LoggerFactory.getLogger(StreamedResponse.class);
+
     /** If a client accepts nothing for this time, its connection is closed. */
     private static final long WRITE_TIMEOUT_NS = 10_000_000_000L;
 
@@ -33,6 +45,9 @@
     /** The source has passed on the last byte. */
     private boolean endReached;
 
+    /** Whether only the end of the connection ends the body. */
+    private final boolean framedByConnection;
+
     /** The response is complete or was aborted. */
     private boolean closed;
 
@@ -63,6 +78,10 @@
         this.memory = memory;
         this.onWritable = onWritable;
         this.onDisconnect = onDisconnect;
+        framedByConnection =
+                !exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                        && !exchange.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
+        setCloseByReset(true);
         channel = exchange.getResponseChannel();
         channel.getWriteSetter().set(writable -> writeUnwritten());
         timeoutTimer = loop.schedule(WRITE_TIMEOUT_NS, this::checkTimeout);
@@ -146,6 +165,19 @@
         }
     }
 
+    private void setCloseByReset(boolean enabled) {
+        if (!framedByConnection) {
+            return;
+        }
+        try {
+            StreamConnection connection =
+                    ((AbstractServerConnection) exchange.getConnection()).getChannel();
+            connection.setOption(Options.CLOSE_ABORT, enabled);
+        } catch (IOException e) {
+            LOG.warn("a client of HTTP/1.0 can't be told if its response is cut off", e);
+        }
+    }
+
     private void dropUnwritten() {
         if (unwritten != null) {
             memory.shrink(unwritten.capacity());
@@ -155,6 +187,7 @@
 
     private void finish() {
         try {
+            setCloseByReset(false);
             channel.shutdownWrites();
             if (channel.flush()) {
                 channel.suspendWrites();
