Answer a request with a streamed body in its time, whatever its endpoint does with the body

Cause: no clock ran for the endpoint while a body streamed. The attempt had the time of the slowest client, and the client's time began with the last byte written to the endpoint. A paused read hides that the last byte has come.

Change: BodyReader, as ByteSource.lastByteNotBefore, is the one owner of when the last byte can have arrived: now, as long as everything that came is read; from the first byte held up on, that moment. Only while more than 16 MiB are to be read, more than socket buffers hold, does it move on with each read. The attempt and the request both take their end from it, plus the client's time. A body that was not sent whole is a failed connect, so the decisions learn of the endpoint, and the client gets a refusal: it never ran. X-Time-Left to the endpoint is what is left by the same clock.

Related: a response before the end of the body now reads the rest of it for up to 10 s, as a close over unread bytes resets the connection and can take the response away (also 413, 409 and refusals for want of memory; a refused body over 1 MiB was closed unanswered before). 413 is now answered to a chunked body, too, which was closed.

--- a/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
@@ -16,8 +16,8 @@
 import trailthread.engine.loop.EventLoop;
 
 /**
- * Reads a request's body to its end. If a chunked body were left unread, Undertow would close the
- * connection without a response.
+ * Reads a request's body to its end, also when the response is written earlier: closing a
+ * connection with unread bytes resets it, which can take the response from the client.
  *
  * <p>If there is no memory to buffer a body, it is streamed: the receiver gets this reader as the
  * source, which is read only as fast as the sink accepts bytes.
@@ -31,15 +31,22 @@
         /**
          * The request is complete.
          *
-         * @param body empty if it was discarded unbuffered; null if it is too large
+         * @param body empty if it was discarded unbuffered; null if it is too large, and may still
+         *     be arriving
          */
         void complete(byte[] body);
 
+        /**
+         * Whether the request can be answered before the end of a body that is discarded. If not,
+         * the connection is closed if the body is long.
+         */
+        boolean canRespondBeforeEnd();
+
         /**
          * There is no memory to buffer the body: it must be streamed, see {@link
          * #setStreamCallbacks}.
          */
-        void stream(BodyReader body);
+        void stream();
 
         /** The body will never be complete, and the connection is closed. */
         void aborted();
@@ -48,9 +55,18 @@
     /** The longest body that a request may have. */
     static final long MAX_BODY_BYTES = 32 * 1024 * 1024;
 
-    /** If a body that is discarded is longer than this, the connection is closed. */
+    /** A body that is discarded is read to its end before the response if it is not longer. */
     private static final long MAX_DISCARDED_BYTES = 1024 * 1024;
 
+    /** After the response, the rest of the body is read for this time. */
+    private static final long DISCARD_REST_NS = 10_000_000_000L;
+
+    /**
+     * More than the systems of client and node hold of a body in their socket buffers. While more
+     * than this is to be read, the client cannot have written its last byte.
+     */
+    private static final long MAX_SOCKET_BUFFER_BYTES = 16 * 1024 * 1024;
+
     /** The minimum rate of a body; clients send 64 kB a second or more. */
     private static final long MIN_BYTES_PER_SECOND = 48_000;
 
@@ -78,9 +94,21 @@
     private long receivedBytes;
     private boolean tooLarge;
 
-    /** The body is complete, aborted or stopped: nothing more is read. */
+    /** The body is complete or aborted: nothing more is read. */
     private boolean done;
 
+    /** Nothing more is read until {@link #discardRest}. */
+    private boolean stopped;
+
+    /** The response has been started, and the rest of the body is discarded. */
+    private boolean discardingRest;
+
+    /** Everything that had arrived was read when the socket was read last. */
+    private boolean caughtUp;
+
+    /** The earliest time at which the last byte can have arrived, unless {@link #caughtUp}. */
+    private long lastByteNotBefore;
+
     /** What was received before streaming started and is still to be given to the sink. */
     private final Deque<ByteBuffer> receivedBeforeStream = new ArrayDeque<>();
 
@@ -117,6 +145,7 @@
                         ? new BodyBuffer(memory.reservation(), exchange.getRequestContentLength())
                         : null;
         channel = exchange.getRequestChannel();
+        lastByteNotBefore = loop.arrivedNotBefore();
         deadlineTimer =
                 loop.scheduleAfterReading(deadlineWithoutBody - loop.now(), this::checkDeadline);
     }
@@ -161,6 +190,10 @@
 
     /** Reads the available bytes, up to the limit of one pass of the loop. */
     private void readAvailable() {
+        if (caughtUp) {
+            caughtUp = false;
+            lastByteNotBefore = loop.arrivedNotBefore();
+        }
         try (var pooled = loop.buffers().allocate()) {
             ByteBuffer bytes = pooled.getBuffer();
             for (long read = 0; read < EventLoop.MAX_BYTES_PER_PASS; read += bytes.capacity()) {
@@ -171,6 +204,7 @@
                     return;
                 }
                 if (count == 0) {
+                    caughtUp = true;
                     channel.getReadSetter().set(readable -> readAvailable());
                     channel.resumeReads();
                     return;
@@ -194,7 +228,7 @@
         channel.suspendReads();
         loop.afterSockets(
                 () -> {
-                    if (!done && pausedAt == 0) {
+                    if (!done && !stopped && pausedAt == 0) {
                         readAvailable();
                     }
                 });
@@ -203,6 +237,12 @@
     /** Handles bytes that were read; returns whether to continue reading at once. */
     private boolean handleBytes(ByteBuffer bytes) {
         receivedBytes += bytes.remaining();
+        if (length() - receivedBytes > MAX_SOCKET_BUFFER_BYTES) {
+            lastByteNotBefore = loop.now();
+        }
+        if (discardingRest) {
+            return true;
+        }
         return sink == null ? bufferOrDiscard(bytes) : giveToSink(bytes);
     }
 
@@ -215,7 +255,7 @@
             pause();
             return false;
         }
-        return !done;
+        return !done && !stopped;
     }
 
     private boolean bufferOrDiscard(ByteBuffer bytes) {
@@ -223,26 +263,39 @@
             tooLarge = true;
             releaseBuffer();
         }
-        if (buffer == null || tooLarge) {
-            if (receivedBytes > MAX_DISCARDED_BYTES) {
-                abort();
-                return false;
-            }
+        if (tooLarge || (buffer == null && receivedBytes > MAX_DISCARDED_BYTES)) {
+            completeBeforeEnd();
+            return false;
+        }
+        if (buffer == null) {
             return true;
         }
         if (!buffer.append(bytes)) {
             receivedBeforeStream.add(buffer.content());
             receivedBeforeStream.add(ByteBuffer.allocate(bytes.remaining()).put(bytes).flip());
             pause();
-            receiver.stream(this);
+            receiver.stream();
             return false;
         }
         return true;
     }
 
+    /** Has the request answered before the end of a long body that is discarded. */
+    private void completeBeforeEnd() {
+        if (!receiver.canRespondBeforeEnd()) {
+            abort();
+            return;
+        }
+        stop();
+        receiver.complete(tooLarge ? null : BodyBuffer.EMPTY);
+    }
+
     private void complete() {
         deadlineTimer.remove();
         done = true;
+        if (discardingRest) {
+            return; // the exchange ends when its response is written, too
+        }
         if (sink != null) {
             sink.endBody();
             onStreamComplete.run();
@@ -305,7 +358,7 @@
 
     @Override
     public void resume() {
-        if (!done && giveReceivedBeforeStream()) {
+        if (!done && !stopped && giveReceivedBeforeStream()) {
             deadlineWithoutBody += loop.now() - pausedAt; // the pause is not the client's fault
             pausedAt = 0;
             readAvailable();
@@ -318,11 +371,38 @@
         receivedBeforeStream.clear();
         releaseBuffer();
         if (!done) {
-            done = true;
+            stopped = true;
             channel.suspendReads();
         }
     }
 
+    @Override
+    public long lastByteNotBefore() {
+        return caughtUp && !done ? loop.now() : lastByteNotBefore;
+    }
+
+    /** Reads the rest of the body, and discards it, as the response is being started. */
+    void discardRest() {
+        if (done || discardingRest) {
+            return;
+        }
+        stop();
+        stopped = false;
+        discardingRest = true;
+        pausedAt = 0;
+        deadlineTimer = loop.schedule(DISCARD_REST_NS, this::endDiscarding);
+        readInNextPass();
+    }
+
+    /** Closes the connection, unless its response is still being written. */
+    private void endDiscarding() {
+        if (exchange.isResponseComplete()) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else {
+            deadlineTimer = loop.schedule(DISCARD_REST_NS, this::endDiscarding);
+        }
+    }
+
     /** Closes the connection if the client has fallen behind the minimum rate. */
     private void checkDeadline() {
         long leftNs = deadlineWithoutBody + timeForBytesNs(receivedBytes) - loop.now();
@@ -342,12 +422,13 @@
 
     private void abort() {
         deadlineTimer.remove();
-        if (!done) {
+        if (!done && !discardingRest) {
             done = true;
             releaseBuffer();
             receiver.aborted();
             onDisconnect.run();
         }
+        done = true;
         IoUtils.safeClose(exchange.getConnection());
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
@@ -1,7 +1,6 @@
 package trailthread.daemon.listener;
 
 import io.undertow.server.AbstractServerConnection;
-import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -37,7 +36,7 @@
     private final BooleanSupplier isLastOnConnection;
     private final MemoryBudget budget;
     private final RequestMemory memory;
-    private final Runnable stopBody;
+    private final Runnable discardBody;
 
     /** The response has started, or the client disconnected before it could. */
     private boolean respondedOrDisconnected;
@@ -55,7 +54,8 @@
      * @param isLastOnConnection whether the connection is closed after this response
      * @param budget where memory is reserved for pipelined bytes that exceed a pooled buffer
      * @param memory what the request and this response hold of the budget
-     * @param stopBody runs before a response to a request whose body is incomplete
+     * @param discardBody runs before a response to a request whose body is incomplete: reads the
+     *     rest of it
      */
     HttpResponseWriter(
             EventLoop loop,
@@ -64,14 +64,14 @@
             BooleanSupplier isLastOnConnection,
             MemoryBudget budget,
             RequestMemory memory,
-            Runnable stopBody) {
+            Runnable discardBody) {
         this.loop = loop;
         this.exchange = exchange;
         this.forwardsEndpointHeaders = forwardsEndpointHeaders;
         this.isLastOnConnection = isLastOnConnection;
         this.budget = budget;
         this.memory = memory;
-        this.stopBody = stopBody;
+        this.discardBody = discardBody;
     }
 
     @Override
@@ -162,8 +162,7 @@
         }
         respondedOrDisconnected = true;
         if (!exchange.isRequestComplete()) {
-            stopBody.run();
-            Connectors.terminateRequest(exchange);
+            discardBody.run();
             exchange.setPersistent(false);
         }
         exchange.setStatusCode(status);
@@ -173,7 +172,12 @@
     }
 
     private void send(int status, byte[] body) {
+        boolean bodyIncomplete = !exchange.isRequestComplete();
         start(status);
+        if (bodyIncomplete) {
+            sendBeforeBodyEnds(loop, exchange, memory, body);
+            return;
+        }
         if (forwardsEndpointHeaders && body.length == 0) {
             exchange.endExchange();
         } else {
@@ -184,6 +188,19 @@
         }
     }
 
+    /**
+     * Sends a response while the request's body is still arriving. Undertow's own sender would wait
+     * for the end of that body, or not read it.
+     */
+    static void sendBeforeBodyEnds(
+            EventLoop loop, HttpServerExchange exchange, RequestMemory memory, byte[] body) {
+        exchange.setResponseContentLength(body.length);
+        StreamedResponse response =
+                new StreamedResponse(loop, exchange, memory.reservation(), () -> {}, () -> {});
+        response.writePiece(ByteBuffer.wrap(body));
+        response.endBody();
+    }
+
     private void closeIfUnread() {
         if (!exchange.isResponseComplete()) {
             IoUtils.safeClose(exchange.getConnection());
--- a/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
@@ -1,6 +1,5 @@
 package trailthread.daemon.listener;
 
-import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -67,8 +66,7 @@
         }
         PendingRequest pending = new PendingRequest(exchange, deadlineWithoutBody);
         if (exchange.getRequestContentLength() > BodyReader.MAX_BODY_BYTES) {
-            Connectors.terminateRequest(exchange); // the body is too long to be discarded
-            reject(exchange, RejectionReason.TOO_LARGE);
+            exchange.dispatch(SameThreadExecutor.INSTANCE, pending::rejectTooLarge);
             return;
         }
         pending.reserveMemory();
@@ -95,19 +93,6 @@
                 && !PipelinedBytes.hasPipelined(exchange, budget);
     }
 
-    /**
-     * Rejects a request. Unless only a route is missing, this closes the connection, as the bytes
-     * that follow may not start with a request.
-     */
-    private void reject(HttpServerExchange exchange, RejectionReason reason) {
-        metrics.requestRejected(reason);
-        exchange.setStatusCode(statusCode(reason));
-        if (reason != RejectionReason.NO_ROUTE || isLastOnConnection(exchange)) {
-            exchange.setPersistent(false);
-        }
-        exchange.endExchange();
-    }
-
     private static int statusCode(RejectionReason reason) {
         return switch (reason) {
             case BAD_REQUEST -> StatusCodes.BAD_REQUEST;
@@ -127,6 +112,8 @@
         /** Bytes that the handler has reserved for the body, or {@link Handler#NOT_RESERVED}. */
         private long reservedBytes = Handler.NOT_RESERVED;
 
+        private BodyReader bodyReader;
+
         /** What is reserved of the budget; nothing if the body is discarded. */
         private RequestMemory memory = RequestMemory.none(budget);
 
@@ -159,7 +146,23 @@
 
         void readBody() {
             boolean buffered = reservedBytes != Handler.NOT_RESERVED;
-            new BodyReader(loop, exchange, deadlineWithoutBody, buffered, memory, this).read();
+            startReader(buffered);
+            bodyReader.read();
+        }
+
+        private void startReader(boolean buffered) {
+            bodyReader =
+                    new BodyReader(loop, exchange, deadlineWithoutBody, buffered, memory, this);
+        }
+
+        void rejectTooLarge() {
+            startReader(false);
+            reject(RejectionReason.TOO_LARGE);
+        }
+
+        @Override
+        public boolean canRespondBeforeEnd() {
+            return head.request() != null;
         }
 
         @Override
@@ -173,7 +176,25 @@
                 return;
             }
             releaseReservation();
-            reject(exchange, rejection);
+            reject(rejection);
+        }
+
+        /**
+         * Rejects the request. Unless only a route is missing, this closes the connection, as the
+         * bytes that follow may not start with a request.
+         */
+        private void reject(RejectionReason reason) {
+            metrics.requestRejected(reason);
+            exchange.setStatusCode(statusCode(reason));
+            if (reason != RejectionReason.NO_ROUTE || isLastOnConnection(exchange)) {
+                exchange.setPersistent(false);
+            }
+            if (exchange.isRequestComplete()) {
+                exchange.endExchange();
+            } else {
+                bodyReader.discardRest();
+                HttpResponseWriter.sendBeforeBodyEnds(loop, exchange, memory, BodyBuffer.EMPTY);
+            }
         }
 
         /** Decodes the head again after the frontend was replaced while the body was read. */
@@ -205,7 +226,7 @@
         }
 
         private void handle(ClientRequest request) {
-            HttpResponseWriter response = responseWriter(request.body().length, () -> {});
+            HttpResponseWriter response = responseWriter(request.body().length);
             // The time left counts from the request's last byte, which may have arrived while the
             // loop was late.
             long deadline = loop.arrivedNotBefore() + request.timeLeftNs();
@@ -215,20 +236,19 @@
         }
 
         @Override
-        public void stream(BodyReader body) {
+        public void stream() {
             if (isDuplicate()) {
-                body.stop();
                 releaseReservation();
-                Connectors.terminateRequest(exchange);
-                reject(exchange, RejectionReason.CONFLICT);
+                reject(RejectionReason.CONFLICT);
                 return;
             }
-            HttpResponseWriter response = responseWriter(0, body::stop);
-            ClientRequest request = head.request().withBodySource(body);
-            long deadline = loop.now() + body.maxRemainingNs() + request.timeLeftNs();
+            HttpResponseWriter response = responseWriter(0);
+            ClientRequest request = head.request().withBodySource(bodyReader);
+            long deadline = loop.now() + bodyReader.maxRemainingNs() + request.timeLeftNs();
             Runnable onDisconnect =
                     head.handler().handle(request, deadline, response, reservedBytes);
-            body.setStreamCallbacks(() -> response.watchForDisconnect(onDisconnect), onDisconnect);
+            bodyReader.setStreamCallbacks(
+                    () -> response.watchForDisconnect(onDisconnect), onDisconnect);
         }
 
         @Override
@@ -236,7 +256,7 @@
             releaseReservation();
         }
 
-        private HttpResponseWriter responseWriter(long bodyBytes, Runnable stopBody) {
+        private HttpResponseWriter responseWriter(long bodyBytes) {
             memory.engineStarts(bodyBytes);
             ClientConnection.fromExchange(exchange).setOwner(head.handler().owner());
             return new HttpResponseWriter(
@@ -246,7 +266,7 @@
                     () -> isLastOnConnection(exchange),
                     budget,
                     memory,
-                    stopBody);
+                    bodyReader::discardRest);
         }
 
         private void releaseReservation() {
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -40,7 +40,7 @@
     private final AttemptListener listener;
     private final long startedAt;
 
-    /** When the attempt times out, unless it streams a body. */
+    /** When the attempt times out at the latest; see {@link #dueAt}. */
     private final long timeoutAt;
 
     /** No byte of the request may be written then or later. */
@@ -106,7 +106,7 @@
             endAttempt(Outcome.CONNECT_FAILED);
             return;
         }
-        timeoutTimer = loop.schedule(timeoutAt - loop.now(), this::handleTimeout);
+        scheduleTimeout();
         HttpConnection idle = connections.takeIdle(endpoint);
         if (idle != null) {
             connectionIdleNs = loop.now() - idle.idleSince();
@@ -120,6 +120,24 @@
         cancelConnect = connections.connect(endpoint, this::connectCompleted);
     }
 
+    private void scheduleTimeout() {
+        cancelTimeout();
+        timeoutTimer = loop.schedule(dueAt() - loop.now(), this::handleTimeout);
+    }
+
+    /**
+     * Returns when the attempt times out, as far as it is known now. The client's time counts from
+     * the last byte of its body, so while a body is streamed, this moves on until that byte may
+     * have arrived; an endpoint that does not take the body gains no time by that.
+     */
+    private long dueAt() {
+        if (request.bodySource() == null) {
+            return timeoutAt;
+        }
+        long dueAfterBody = request.bodySource().lastByteNotBefore() + request.timeoutAfterBodyNs();
+        return isRequestSent() ? dueAfterBody : Math.min(timeoutAt, dueAfterBody);
+    }
+
     /**
      * Handles the end of the connect.
      *
@@ -155,7 +173,7 @@
     private void sendOn(HttpConnection target) {
         boolean maySend = connections.maySend(endpoint, request.isHealthCheck());
         long now = loop.now();
-        if (!maySend || now >= timeoutAt || !mayWriteRequest() || !listener.isResponseWanted()) {
+        if (!maySend || now >= dueAt() || !mayWriteRequest() || !listener.isResponseWanted()) {
             // Checked right before the write, as these may have happened since the balancer decided
             // on the attempt: the endpoint drains, the deduplication window has passed, or the
             // client has disconnected.
@@ -165,9 +183,7 @@
         }
         connection = target;
         sentAt = now;
-        long timeLeftNs =
-                request.bodySource() == null ? timeoutAt - now : request.timeoutAfterBodyNs();
-        RequestEncoder head = request.encoder(endpoint.hostPort, timeLeftNs);
+        RequestEncoder head = request.encoder(endpoint.hostPort, dueAt() - now);
         singleUse = connections.isSingleUse(endpoint);
         if (singleUse) {
             head.header("Connection", "close");
@@ -208,6 +224,10 @@
         if (isStreaming()) {
             return; // the bytes that were just read have started a long response
         }
+        if (request.bodySource() != null && !ended && loop.now() < dueAt()) {
+            scheduleTimeout();
+            return;
+        }
         endAttempt(isRequestSent() ? Outcome.TIMEOUT : outcomeIfNotSent());
     }
 
@@ -228,8 +248,7 @@
     public void requestSent() {
         sentAt = loop.now(); // the time to send a long body is not part of the endpoint's latency
         if (request.bodySource() != null && !isStreaming() && !ended) {
-            cancelTimeout();
-            timeoutTimer = loop.schedule(request.timeoutAfterBodyNs(), this::handleTimeout);
+            scheduleTimeout();
         }
         listener.requestSent();
     }
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointRequest.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointRequest.java
@@ -16,7 +16,7 @@
  *     platform's protocol
  * @param bodySource the body to stream; null: the body is buffered
  * @param timeoutAfterBodyNs how long to wait for the response after the last byte of a streamed
- *     body, in nanoseconds
+ *     body has arrived, in nanoseconds
  */
 public record EndpointRequest(
         String id,
--- a/engine/src/main/java/trailthread/engine/http/ByteSource.java
+++ b/engine/src/main/java/trailthread/engine/http/ByteSource.java
@@ -11,6 +11,14 @@
     /** Returns whether {@link #streamTo} was called, so that the body cannot be sent again. */
     boolean isStarted();
 
+    /**
+     * Returns the earliest time at which the body's last byte can have arrived, by {@link
+     * trailthread.engine.loop.EventLoop#now}. It is now as long as everything that has arrived is
+     * read, and stays when the sink holds up reading, as the last byte may then have arrived
+     * unread.
+     */
+    long lastByteNotBefore();
+
     /** Continues to stream after the sink had no capacity, as it has some again. */
     void resume();
 
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -43,6 +43,9 @@
     /** The attempt in flight, or null. */
     private AttemptExchange attemptInFlight;
 
+    /** The last byte of the request was written to an endpoint. */
+    private boolean mayHaveRun;
+
     /** The response has been started, or the client has disconnected: no response may follow. */
     private boolean finished;
 
@@ -78,7 +81,7 @@
 
     /** Starts the deadline timer and delivers the request to the balancer. */
     void start() {
-        startDeadlineTimer(deadline - admittedAt);
+        startDeadlineTimer();
         driver.deliver(
                 this,
                 (balancer, now) ->
@@ -97,13 +100,25 @@
      * Starts a timer that fires after the balancer's own timer and the attempt's timeout. Prevents
      * a request that the balancer never answers from staying open for ever.
      */
-    private void startDeadlineTimer(long timeLeftNs) {
+    private void startDeadlineTimer() {
         deadlineTimer =
                 dispatcher
                         .loop()
                         .scheduleAfterReading(
-                                timeLeftNs + dispatcher.responseSlackNs() / 2,
-                                this::deadlineExceeded);
+                                answerBy() - dispatcher.now(), this::handleDeadlineTimer);
+    }
+
+    /**
+     * Returns by when the request is answered, as far as it is known now: the client's time counts
+     * from the last byte of its body.
+     */
+    private long answerBy() {
+        long dueAt = deadline;
+        if (client.bodySource() != null) {
+            long dueAfterBody = client.bodySource().lastByteNotBefore() + client.timeLeftNs();
+            dueAt = Math.min(deadline, dueAfterBody);
+        }
+        return dueAt + dispatcher.responseSlackNs() / 2;
     }
 
     /**
@@ -160,9 +175,7 @@
         @Override
         public void requestSent() {
             metrics.attemptSent();
-            if (client.bodySource() != null) {
-                restartDeadlineTimer();
-            }
+            mayHaveRun = true;
         }
 
         @Override
@@ -207,17 +220,6 @@
         }
     }
 
-    /**
-     * Restarts the deadline timer once the last byte of a streamed body has been sent, as the
-     * client's time counts from then.
-     */
-    private void restartDeadlineTimer() {
-        if (!finished) {
-            deadlineTimer.remove();
-            startDeadlineTimer(client.timeLeftNs());
-        }
-    }
-
     /**
      * Tells the balancer that the client gets the first byte, so that the balancer makes no further
      * attempt, and delivers the head's load report like that of a health check.
@@ -325,15 +327,28 @@
         cancel(attempts - 1);
     }
 
+    private void handleDeadlineTimer() {
+        if (finished) {
+            return;
+        }
+        if (dispatcher.now() < answerBy()) {
+            startDeadlineTimer(); // more of a streamed body has arrived since
+        } else {
+            deadlineExceeded();
+        }
+    }
+
     private void deadlineExceeded() {
-        if (!finished) {
+        if (client.bodySource() != null && !mayHaveRun) {
+            reject(0); // the balancer expects a body that takes its time until a later deadline
+        } else {
             LOG.error(
                     "request {} of class {} was not answered by its deadline",
                     client.id(),
                     client.requestClass());
             fail();
-            clientDisconnected();
         }
+        clientDisconnected();
     }
 
     private void recordResult(RequestResult result) {
--- a/engine/src/test/java/trailthread/engine/http/HttpConnectionTest.java
+++ b/engine/src/test/java/trailthread/engine/http/HttpConnectionTest.java
@@ -177,6 +177,11 @@
                         connection.send(
                                 ascii("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n"),
                                 new ByteSource() {
+                                    @Override
+                                    public long lastByteNotBefore() {
+                                        return loop.now();
+                                    }
+
                                     private boolean started;
 
                                     @Override
@@ -228,6 +233,11 @@
                         connection.send(
                                 ascii("POST / HTTP/1.1\r\n\r\n"),
                                 new ByteSource() {
+                                    @Override
+                                    public long lastByteNotBefore() {
+                                        return loop.now();
+                                    }
+
                                     private boolean started;
 
                                     @Override
