--- a/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
@@ -59,7 +59,7 @@
     private static final long MAX_DISCARDED_BYTES = 1024 * 1024;
 
     /** After the response, the rest of the body is read for this time. */
-    private static final long DISCARD_REST_NS = 10_000_000_000L;
+    private static final long DISCARD_REST_NS = 3_000_000_000L;
 
     /**
      * More than the systems of client and node hold of a body in their socket buffers. While more
@@ -372,10 +372,19 @@
         releaseBuffer();
         if (!done) {
             stopped = true;
+            fixLastByteTime();
             channel.suspendReads();
         }
     }
 
+    /** From now on the last byte may arrive unread. */
+    private void fixLastByteTime() {
+        if (caughtUp) {
+            caughtUp = false;
+            lastByteNotBefore = loop.now();
+        }
+    }
+
     @Override
     public long lastByteNotBefore() {
         return caughtUp && !done ? loop.now() : lastByteNotBefore;
--- a/daemon/src/test/java/trailthread/daemon/StreamedBodyDeadlineTest.java
+++ b/daemon/src/test/java/trailthread/daemon/StreamedBodyDeadlineTest.java
@@ -159,6 +159,16 @@
         }
     }
 
+    /** Guards against a request that waits for an endpoint while its body is held up. */
+    @Test
+    public void aBodyThatWaitsForAnEndpointDoesNotHoldUpTheResponse() throws Exception {
+        cluster.maxHeapMegabytes = HEAP_MEGABYTES;
+        cluster.start(TestCluster.SETTINGS);
+        for (String framing : FRAMINGS) {
+            assertRejected(framing);
+        }
+    }
+
     /** Guards against an endpoint that is never silent for long, and never takes all. */
     @Test
     public void anEndpointThatTakesTheBodySlowlyDoesNotHoldUpTheResponse() throws Exception {
