--- a/engine/src/test/java/trailthread/engine/quota/MemoryBudgetTest.java
+++ b/engine/src/test/java/trailthread/engine/quota/MemoryBudgetTest.java
@@ -7,6 +7,7 @@
 import org.junit.Test;
 import trailthread.engine.quota.MemoryBudget.Use;
 
+/** The order of uses, and what a reservation holds and releases. */
 public class MemoryBudgetTest {
     private final MemoryBudget budget = new MemoryBudget(300);
 
