--- a/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
@@ -405,10 +405,11 @@
 
     /** Closes the connection, unless its response is still being written. */
     private void endDiscarding() {
-        if (exchange.isResponseComplete()) {
-            IoUtils.safeClose(exchange.getConnection());
-        } else {
+        boolean responding = exchange.getConnection().isOpen() && !exchange.isResponseComplete();
+        if (responding) {
             deadlineTimer = loop.schedule(DISCARD_REST_NS, this::endDiscarding);
+        } else {
+            IoUtils.safeClose(exchange.getConnection());
         }
     }
 
