Accept again within milliseconds after accept has failed

Callers that connected after accept had failed for a moment (ENFILE, EMFILE, ENOBUFS) got their response seconds late or never, although nothing else was wrong: dozens at a time, as all of them waited in the same backlog.

Cause: XNIO's server owned the wait after a failed accept. It stops accepting for 250 ms after the first failure, four times as long after each further one up to 30 s, and only a success resets that.

TcpAcceptor owns accepting now, for clients and for operators: a failed call is repeated at once, after eight failures in a row it pauses for 10 ms, and nothing grows. It accepts on the loop's own thread, so a shutdown can accept all that waits right before it closes the listening socket; the two delays that made up for XNIO's accepting thread are gone. Works whatever the error is, as no error of accept says anything about the next call.

Measured: AcceptFailureTest passes. LateLoopListenerTest, GracefulCloseTest, GracefulShutdownTest, CrowdTest, NewVersionTest and the admin server's tests passed.

--- a/daemon/src/main/java/trailthread/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/AdminServer.java
@@ -9,18 +9,14 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.ChannelListener;
-import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.channels.AcceptingChannel;
 import trailthread.api.RequestClass;
 import trailthread.engine.loop.EventLoop;
 import trailthread.engine.metrics.MetricsRecorder;
 import trailthread.engine.metrics.NodeControl;
 import trailthread.engine.metrics.NodeStatus;
+import trailthread.engine.socket.TcpAcceptor;
 
 /**
  * The operators' HTTP server: {@code /metrics} for Prometheus, {@code /status} in JSON, {@code
@@ -50,7 +46,7 @@
     private final NodeMetrics metrics;
     private final MetricsCache cache;
     private final AdminConnections connections;
-    private AcceptingChannel<StreamConnection> server;
+    private TcpAcceptor acceptor;
     private boolean acceptsSuspended;
     private boolean closed;
 
@@ -109,10 +105,13 @@
      */
     public InetSocketAddress listen(InetSocketAddress address, NodeControl control)
             throws IOException {
-        server = bind(address, acceptListener(httpListener(control)));
-        server.resumeAccepts();
+        HttpOpenListener http = httpListener(control);
+        int maxOpen = limits.maxConnections() + 1; // one more, to be rejected
+        acceptor =
+                new TcpAcceptor(
+                        loop, maxOpen, (connection, waitingSince) -> opened(connection, http));
+        InetSocketAddress bound = bind(address);
         loop.execute(this::measureLateness);
-        InetSocketAddress bound = server.getLocalAddress(InetSocketAddress.class);
         LOG.info("admin server listens on {}", bound);
         return bound;
     }
@@ -135,25 +134,9 @@
         return http;
     }
 
-    private ChannelListener<AcceptingChannel<StreamConnection>> acceptListener(
-            HttpOpenListener http) {
-        return ChannelListeners.openListenerAdapter(connection -> opened(connection, http));
-    }
-
-    private AcceptingChannel<StreamConnection> bind(
-            InetSocketAddress address, ChannelListener<AcceptingChannel<StreamConnection>> accept)
-            throws BindException {
-        int maxOpen = limits.maxConnections() + 1; // one more, to be rejected
-        OptionMap options =
-                OptionMap.builder()
-                        .set(Options.TCP_NODELAY, true)
-                        .set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG)
-                        .set(Options.CONNECTION_HIGH_WATER, maxOpen)
-                        .set(Options.CONNECTION_LOW_WATER, maxOpen)
-                        .getMap();
+    private InetSocketAddress bind(InetSocketAddress address) throws BindException {
         try {
-            return loop.xnioWorker().createStreamConnectionServer(address, accept, options);
+            return acceptor.listen(address, BACKLOG);
         } catch (IOException | UnresolvedAddressException e) {
             throw new BindException("management: " + address + ": " + e.getMessage());
         }
@@ -164,7 +147,7 @@
         loop.execute(
                 () -> {
                     closed = true;
-                    IoUtils.safeClose(server);
+                    acceptor.close();
                     connections.closeAll();
                 });
     }
@@ -198,14 +181,14 @@
             return;
         }
         acceptsSuspended = true;
-        server.suspendAccepts();
+        acceptor.suspend();
         loop.schedule(limits.minAcceptIntervalNs(), this::resumeAccepts);
     }
 
     private void resumeAccepts() {
         acceptsSuspended = false;
         if (!closed) {
-            server.resumeAccepts();
+            acceptor.resume();
         }
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
@@ -6,16 +6,11 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
-import org.xnio.ChannelListener;
-import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.channels.AcceptingChannel;
-import org.xnio.nio.InheritedTcpServer;
 import trailthread.engine.loop.EventLoop;
 import trailthread.engine.metrics.MetricsRecorder;
+import trailthread.engine.socket.TcpAcceptor;
 
 /**
  * Accepts clients' HTTP connections, closes them when they are unused or the node shuts down, and
@@ -28,20 +23,15 @@
     /** Undertow's value for a body of any length; {@link BodyReader} bounds it. */
     private static final long UNBOUNDED_ENTITY = -1;
 
-    /** If the loop is later than this, connections may be waiting to be accepted. */
-    private static final long LATE_NS = 10_000_000L;
-
-    /** How long a late node continues to accept before it closes its listening socket. */
+    /** How long the connections that wait are accepted before the listening socket is closed. */
     private static final long ACCEPT_GRACE_NS = 100_000_000L;
 
-    /** How long the accepting thread may take to hand a connection over to the loop. */
-    private static final long MAX_HANDOVER_NS = 20_000_000L;
-
     private final EventLoop loop;
     private final ClientConnections connections;
     private final RequestReceiver receiver;
     private final int maxConnections;
-    private AcceptingChannel<StreamConnection> server;
+    private final HttpOpenListener http;
+    private TcpAcceptor acceptor;
 
     /** Whether other processes also accept from the listening socket. */
     private boolean shared;
@@ -66,6 +56,7 @@
         this.maxConnections = maxConnections;
         connections = new ClientConnections(loop, maxActiveClients);
         receiver = new RequestReceiver(loop, connections, frontend, this::isReady, metrics);
+        http = httpListener();
     }
 
     /**
@@ -74,11 +65,8 @@
      * @throws IOException if the address can't be bound
      */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        server =
-                loop.xnioWorker()
-                        .createStreamConnectionServer(address, acceptListener(), socketOptions());
-        server.resumeAccepts();
-        return server.getLocalAddress(InetSocketAddress.class);
+        acceptor = new TcpAcceptor(loop, maxConnections, this::accepted);
+        return acceptor.listen(address, BACKLOG);
     }
 
     /**
@@ -89,12 +77,10 @@
      * @throws IOException if the socket can't be accepted from
      */
     public void listenOnInherited(ServerSocketChannel inherited) throws IOException {
-        IoUtils.safeClose(server);
-        server =
-                InheritedTcpServer.create(
-                        inherited, loop.xnioWorker(), acceptListener(), socketOptions());
+        acceptor.close();
+        acceptor = new TcpAcceptor(loop, maxConnections, this::accepted);
+        acceptor.acceptFrom(inherited);
         shared = true;
-        server.resumeAccepts();
     }
 
     /**
@@ -104,23 +90,13 @@
      */
     public boolean stopAcceptingIfShared() {
         if (shared) {
-            server.suspendAccepts();
+            acceptor.suspend();
         }
         return shared;
     }
 
-    private OptionMap socketOptions() {
-        return OptionMap.builder()
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.REUSE_ADDRESSES, true)
-                .set(Options.BACKLOG, BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, maxConnections)
-                .set(Options.CONNECTION_LOW_WATER, maxConnections)
-                .getMap();
-    }
-
-    private ChannelListener<AcceptingChannel<StreamConnection>> acceptListener() {
-        HttpOpenListener http =
+    private HttpOpenListener httpListener() {
+        HttpOpenListener open =
                 new HttpOpenListener(
                         loop.buffers(),
                         OptionMap.builder()
@@ -130,12 +106,11 @@
                                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                                 .set(UndertowOptions.DECODE_URL, false)
                                 .getMap());
-        http.setRootHandler(receiver);
-        return ChannelListeners.openListenerAdapter(
-                connection -> loop.run(() -> opened(connection, http)));
+        open.setRootHandler(receiver);
+        return open;
     }
 
-    private void opened(StreamConnection connection, HttpOpenListener http) {
+    private void accepted(StreamConnection connection, long waitingSince) {
         ClientConnection client = connections.opened(connection);
         connection.setCloseListener(closed -> connections.closed(client));
         http.handleEvent(connection);
@@ -197,18 +172,11 @@
      * @param onClosed runs when no connection is open any more
      */
     public void close(Runnable onClosed) {
-        // When the loop is late, so is the accepting thread. Closing the listening socket would
-        // reset connections that wait to be accepted, and lose their requests.
-        boolean late = loop.latency().latenessNs(System.nanoTime()) > LATE_NS;
-        loop.schedule(late ? ACCEPT_GRACE_NS : 0, () -> stopAccepting(onClosed));
-    }
-
-    private void stopAccepting(Runnable onClosed) {
-        if (!stopAcceptingIfShared()) {
-            IoUtils.safeClose(server);
+        Runnable closeConnections = () -> connections.closeAll(onClosed);
+        if (stopAcceptingIfShared()) {
+            closeConnections.run();
+        } else {
+            acceptor.finish(ACCEPT_GRACE_NS, closeConnections);
         }
-        // The loop has yet to open the connections that the accepting thread handed over last.
-        loop.schedule(
-                MAX_HANDOVER_NS, () -> loop.afterSockets(() -> connections.closeAll(onClosed)));
     }
 }
