Count the time in the backlog as part of a request's time

A client whose connection waited to be accepted had its request forwarded with time that it no longer had: after 600 ms in the backlog the server was still given 19.994 s of 20, with 0.15 s of slack allowed, and its response could come after the client's time.

Cause: a request's time counted from the earliest moment at which a byte read now can have arrived, by the last poll of the sockets. That does not hold for what was sent before the connection was accepted.

--- a/daemon/src/main/java/trailthread/daemon/listener/ClientConnection.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/ClientConnection.java
@@ -18,6 +18,7 @@
  */
 final class ClientConnection extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final long NO_BYTES = 0;
+    private static final long NOT_WAITED = Long.MAX_VALUE;
 
     private final StreamConnection connection;
     private final EventLoop loop;
@@ -31,6 +32,12 @@
     /** When the first byte of an incomplete request arrived; {@link #NO_BYTES} if none has. */
     private long receivingSince = NO_BYTES;
 
+    /**
+     * The earliest time at which what is being read can have arrived; {@link #NOT_WAITED} if it did
+     * not wait in the backlog.
+     */
+    private long waitingSince = NOT_WAITED;
+
     /** Runs once the connection does not use the current request any more; null if it has run. */
     private Runnable onRequestEnd;
 
@@ -64,6 +71,21 @@
         return receivingSince;
     }
 
+    /** Runs a task that reads what the client sent while it waited to be accepted. */
+    void runWhileReadingBacklog(long waitingSince, Runnable task) {
+        this.waitingSince = waitingSince;
+        task.run();
+        this.waitingSince = NOT_WAITED;
+    }
+
+    /**
+     * Returns the earliest time at which what is read now can have arrived, by {@link
+     * EventLoop#now}.
+     */
+    long arrivedNotBefore() {
+        return Math.min(waitingSince, loop.arrivedNotBefore());
+    }
+
     Object owner() {
         return owner;
     }
--- a/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
@@ -113,7 +113,8 @@
     private void accepted(StreamConnection connection, long waitingSince) {
         ClientConnection client = connections.opened(connection);
         connection.setCloseListener(closed -> connections.closed(client));
-        http.handleEvent(connection);
+        // reads what the client has sent while it waited
+        client.runWhileReadingBacklog(waitingSince, () -> http.handleEvent(connection));
     }
 
     /**
--- a/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
@@ -228,8 +228,9 @@
         private void handle(ClientRequest request) {
             HttpResponseWriter response = responseWriter(request.body().length);
             // The time left counts from the request's last byte, which may have arrived while the
-            // loop was late.
-            long deadline = loop.arrivedNotBefore() + request.timeLeftNs();
+            // loop was late, or while the connection waited to be accepted.
+            long arrivedAt = ClientConnection.fromExchange(exchange).arrivedNotBefore();
+            long deadline = arrivedAt + request.timeLeftNs();
             Runnable onDisconnect =
                     head.handler().handle(request, deadline, response, reservedBytes);
             response.watchForDisconnect(onDisconnect);
--- a/daemon/src/test/java/trailthread/daemon/AcceptFailureTest.java
+++ b/daemon/src/test/java/trailthread/daemon/AcceptFailureTest.java
@@ -19,6 +19,13 @@
     /** A response later than this after its deadline counts as lost. */
     private static final double LATE_RESPONSE_S = 0.5;
 
+    /** The time that {@link TestCluster#requestText} gives a request. */
+    private static final double LONG_DEADLINE_S = 20;
+
+    /** The time that a server is given may exceed what the client has left by this. */
+    private static final double TIME_LEFT_SLACK_S = 0.15;
+
+    private static final int WAITING_MS = 600;
     private static final int ROUNDS = 6;
     private static final int FAILURES_A_ROUND = 3;
 
@@ -54,4 +61,21 @@
         }
         assertEquals(ROUNDS * FAILURES_A_ROUND, faults.injected(Call.ACCEPT));
     }
+
+    /** Guards against servers that are given time which the client has spent in the backlog. */
+    @Test
+    public void timeInTheBacklogIsPartOfARequestsTime() throws Exception {
+        ScriptedServer server = cluster.closeAtEnd(ScriptedServer.respondingWith("made"));
+        cluster.start(TestCluster.SETTINGS, server);
+        faults.failNext(Call.ACCEPT, Integer.MAX_VALUE);
+        Socket client = cluster.connect();
+        Message.send(client, TestCluster.requestText("state", "", ""));
+        Thread.sleep(WAITING_MS);
+        faults.failNext(Call.ACCEPT, 0);
+        double timeLeftS = Double.parseDouble(server.takeRequest().header("X-Time-Left"));
+        assertTrue(
+                "the server was given " + timeLeftS + " s",
+                timeLeftS <= LONG_DEADLINE_S - WAITING_MS / 1e3 + TIME_LEFT_SLACK_S);
+        assertEquals("HTTP/1.1 200 OK", Message.read(client).startLine());
+    }
 }
