--- a/daemon/src/test/java/trailthread/daemon/InterruptedCallsTest.java
+++ b/daemon/src/test/java/trailthread/daemon/InterruptedCallsTest.java
@@ -109,4 +109,10 @@
         faults.transferFewBytes(Call.WRITE);
         assertServed(Call.READ, Call.WRITE);
     }
+
+    /** Guards against connects that hang when the check of their success is interrupted. */
+    @Test
+    public void interruptedWaitsAreRepeated() throws Exception {
+        assertServed(Call.WAIT);
+    }
 }
