Keep a connect alive when the check of its success is interrupted

Callers got a failure or a late response though all servers accepted at once: an attempt on a new connection ended "CONNECT_FAILED after 10001.1 ms, request not sent", its whole connect timeout, and so did its retry.

Cause: finishing a non-blocking connect asks poll; if that is interrupted (EINTR), Java says "not finished yet". XNIO's handler then closes the socket and completes its future neither with a result nor with an exception.

ConnectingTcpSocket opens connections in place of XNIO: a check that says "not yet" leaves the socket registered, and the selector reports it again. Each connect ends in exactly one of established, failed or cancelled, on the loop's thread. A refusal by the system is logged with its reason (debug).

--- a/engine/src/main/java/trailthread/engine/http/HttpConnector.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnector.java
@@ -2,26 +2,28 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import org.xnio.IoFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.nio.ConnectingTcpSocket;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
 
 /** Opens one {@link HttpConnection}; the connect can be cancelled until it is established. */
 public final class HttpConnector {
-    private static final OptionMap TCP = OptionMap.create(Options.TCP_NODELAY, true);
+    private static final Logger LOG = LoggerFactory.getLogger(HttpConnector.class);
 
     private final EventLoop loop;
     private final CpuAccount account;
     private final ConnectionListener listener;
     private final Consumer<HttpConnection> onOpen;
 
-    private final AtomicBoolean completedOrCancelled = new AtomicBoolean();
+    /** The socket that is being connected, or null. */
+    private ConnectingTcpSocket socket;
+
+    private boolean cancelled;
 
     private HttpConnector(
             EventLoop loop,
@@ -35,7 +37,7 @@
     }
 
     /**
-     * Opens a connection.
+     * Opens a connection. To be called on the loop's thread.
      *
      * @param account is charged with the time spent on reading the connection
      * @param listener receives the events of an established connection
@@ -55,15 +57,37 @@
             return () -> {};
         }
         HttpConnector connector = new HttpConnector(loop, account, listener, onOpen);
-        IoFuture<StreamConnection> connect = loop.thread().openStreamConnection(server, null, TCP);
-        connect.addNotifier(
-                (done, none) -> loop.execute(() -> connector.connectCompleted(done)), null);
-        return () -> connector.cancel(connect);
+        connector.start(server);
+        return connector::cancel;
+    }
+
+    private void start(InetSocketAddress server) {
+        SocketListener socketListener = new SocketListener();
+        try {
+            socket = ConnectingTcpSocket.open(loop.thread(), server, socketListener);
+        } catch (IOException e) {
+            socketListener.failed(e);
+        }
+    }
+
+    /** Completes the connect in a task of its own. */
+    private final class SocketListener implements ConnectingTcpSocket.Listener {
+        @Override
+        public void established(StreamConnection connection) {
+            socket = null;
+            loop.execute(() -> complete(connection));
+        }
+
+        @Override
+        public void failed(IOException reason) {
+            LOG.debug("a connect failed", reason);
+            socket = null;
+            loop.execute(() -> complete(null));
+        }
     }
 
-    private void connectCompleted(IoFuture<? extends StreamConnection> connect) {
-        StreamConnection connection = establishedConnection(connect);
-        if (completedOrCancelled.getAndSet(true)) {
+    private void complete(StreamConnection connection) {
+        if (cancelled) {
             IoUtils.safeClose(connection);
         } else if (connection == null) {
             onOpen.accept(null);
@@ -72,18 +96,11 @@
         }
     }
 
-    private static StreamConnection establishedConnection(
-            IoFuture<? extends StreamConnection> connect) {
-        try {
-            return connect.getStatus() == IoFuture.Status.DONE ? connect.get() : null;
-        } catch (IOException e) {
-            return null;
-        }
-    }
-
-    private void cancel(IoFuture<StreamConnection> connect) {
-        if (!completedOrCancelled.getAndSet(true)) {
-            connect.cancel();
+    private void cancel() {
+        cancelled = true;
+        if (socket != null) {
+            socket.close();
+            socket = null;
         }
     }
 }
