Repeat interrupted reads and writes in one place, for every channel

Callers had their connection closed with no response after a request was sent on it while open, or waited until their time was over.

Cause: where read or write is interrupted (EINTR), Java's socket channels return -3. Each reader judged results for itself, most by "less than 0 is the end": Undertow's, HttpConnection, BodyReader, PipelinedBytes. A write gave IllegalArgumentException (newPosition < 0: (-3 < 0)) in RequestWriter, and the attempt stayed without an owner until its timeout. Half a message could have passed for a whole one.

InterruptedCalls is the one rule: an interrupted call is repeated, up to 100 times, then it counts as "nothing now", and the selector reports the channel again. RepeatingConduits applies it below everything that reads or writes a connection, of clients, servers, discovery and operators; the loop's own pipe uses it too, and a byte that can't be written there no longer leaves its tasks waiting for ever. Above it a result is a count, 0 or -1.

--- a/engine/src/main/java/trailthread/engine/http/HttpConnector.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnector.java
@@ -10,6 +10,7 @@
 import org.xnio.nio.ConnectingTcpSocket;
 import trailthread.engine.loop.CpuAccount;
 import trailthread.engine.loop.EventLoop;
+import trailthread.engine.socket.RepeatingConduits;
 
 /** Opens one {@link HttpConnection}; the connect can be cancelled until it is established. */
 public final class HttpConnector {
@@ -75,6 +76,7 @@
         @Override
         public void established(StreamConnection connection) {
             socket = null;
+            RepeatingConduits.addTo(connection);
             loop.execute(() -> complete(connection));
         }
 
--- a/engine/src/main/java/trailthread/engine/loop/SocketPass.java
+++ b/engine/src/main/java/trailthread/engine/loop/SocketPass.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelPipe;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -18,6 +20,8 @@
  * reads: the poll that finds the byte finds all other input too.
  */
 final class SocketPass {
+    private static final Logger LOG = LoggerFactory.getLogger(SocketPass.class);
+
     private final XnioIoThread thread;
     private final Consumer<Runnable> runner;
     private final StreamSourceChannel source;
@@ -51,13 +55,19 @@
     /** Runs a task after the sockets that are ready now have been served. */
     void runAfterSockets(Runnable task) {
         tasks.add(task);
-        if (tasks.size() == 1) {
-            try {
-                // always fits, as the pipe never holds more than one byte
-                sink.write(ByteBuffer.allocate(1));
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
+        if (tasks.size() == 1 && !writePipe()) {
+            runTasksLater(); // before the sockets are served, but they do run
+        }
+    }
+
+    /** Writes the byte that the next poll finds; returns whether that was possible. */
+    private boolean writePipe() {
+        try {
+            // always fits, as the pipe never holds more than one byte
+            return InterruptedCalls.repeat(() -> sink.write(ByteBuffer.allocate(1))) == 1;
+        } catch (IOException e) {
+            LOG.error("the pipe of the event loop can't be written", e);
+            return false;
         }
     }
 
@@ -68,11 +78,15 @@
     private void readPipe() {
         try {
             if (source.read(ByteBuffer.allocate(1)) <= 0) {
-                return;
+                return; // interrupted, and reported as ready again
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        runTasksLater();
+    }
+
+    private void runTasksLater() {
         List<Runnable> due = tasks;
         tasks = new ArrayList<>();
         thread.execute(() -> thread.execute(() -> due.forEach(runner)));
--- a/engine/src/main/java/trailthread/engine/socket/TcpAcceptor.java
+++ b/engine/src/main/java/trailthread/engine/socket/TcpAcceptor.java
@@ -212,6 +212,7 @@
     private void handleAccepted(StreamConnection connection) {
         failuresInARow = 0;
         openCount++;
+        RepeatingConduits.addTo(connection);
         try {
             listener.accepted(connection, Math.min(waitingSince, loop.arrivedNotBefore()));
         } catch (RuntimeException e) {
