Add a seeded soak of system calls that fail, in service and through a shutdown

The soak of graceful shutdowns has a second set of scenarios: each of accept, socket, connect, read, write and waits fails, is interrupted or transfers few bytes for half of the seeds, with a rate of their own, for 2.5 s of service and until the process ends; clients connect anew after three in ten responses. Two rules are stricter for all scenarios: a response must be the request's own, and in service, without a crowd, no connection ends without a response.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Development tasks; the commands that the platform runs are in deploy/balancer.toml.
-.PHONY: build test soak soak-responses lint format run platform bench isolation jmh clean
+.PHONY: build test soak soak-faults soak-responses lint format run platform bench isolation jmh clean
 
 MVN = mvn
 RUN = $(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
@@ -21,6 +21,10 @@
 soak:
 	$(MVN) -q -pl daemon -am test -Dtest=ShutdownSoakTest\#nothingIsLostUnderAnySeed -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
 
+# The same while system calls of the program fail.
+soak-faults:
+	$(MVN) -q -pl daemon -am test -Dtest=SystemCallFaultSoakTest -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
+
 # Real nodes between emulated servers that send responses without a request, one run per seed.
 soak-responses:
 	$(MVN) -q -pl lab -am test -Dtest=EmulationTest\#strayResponsesBreakNoInvariant -Dsurefire.failIfNoSpecifiedTests=false -Dsoak.seeds=$(SEEDS)
--- a/daemon/src/test/java/trailthread/daemon/soak/RequestHistory.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/RequestHistory.java
@@ -33,6 +33,9 @@
 
     volatile boolean answered;
 
+    /** Empty without a response; of a server's response it is the request's id. */
+    volatile String responseBody = "";
+
     RequestHistory(String id, RequestKind kind, int deadlineMs) {
         this.id = id;
         this.kind = kind;
--- a/daemon/src/test/java/trailthread/daemon/soak/RuleChecker.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/RuleChecker.java
@@ -26,16 +26,19 @@
      */
     record Times(long sigtermAt, long killedAt) {}
 
+    private final Scenario scenario;
     private final Times times;
     private final List<Violation> violations = new ArrayList<>();
 
-    private RuleChecker(Times times) {
+    private RuleChecker(Scenario scenario, Times times) {
+        this.scenario = scenario;
         this.times = times;
     }
 
     /** Returns the violations, each with the history of its request. */
-    static List<Violation> check(Collection<RequestHistory> requests, Times times) {
-        RuleChecker checker = new RuleChecker(times);
+    static List<Violation> check(
+            Scenario scenario, Collection<RequestHistory> requests, Times times) {
+        RuleChecker checker = new RuleChecker(scenario, times);
         requests.forEach(checker::checkRequest);
         return checker.violations;
     }
@@ -47,11 +50,14 @@
             require(request, request.writtenAt >= times.killedAt, Rule.UNANSWERED_AT_KILL);
         }
         if (clientStayed && !request.answered && endedBeforeKill) {
-            require(request, request.receivedAt.isEmpty(), Rule.CLOSED_WITHOUT_RESPONSE);
+            require(request, mayBeClosed(request), Rule.CLOSED_WITHOUT_RESPONSE);
         }
         if (request.answered) {
             long dueAt = request.startedAt + request.deadlineMs * NS_PER_MS + LATE_RESPONSE_NS;
             require(request, request.endedAt <= dueAt, Rule.LATE_RESPONSE);
+            boolean isOwn =
+                    request.responseBody.isEmpty() || request.responseBody.equals(request.id);
+            require(request, isOwn, Rule.WRONG_RESPONSE);
         }
         if (request.kind == RequestKind.USE) {
             require(request, request.receivedAt.size() <= 1, Rule.REPEATED);
@@ -65,6 +71,13 @@
         }
     }
 
+    /** Whether the request's connection may end without a response. */
+    private boolean mayBeClosed(RequestHistory request) {
+        boolean endedInService = request.endedAt < times.sigtermAt;
+        return request.receivedAt.isEmpty()
+                && !(endedInService && scenario.keepsUnusedConnections());
+    }
+
     private void require(RequestHistory request, boolean kept, Rule rule) {
         if (!kept) {
             violations.add(new Violation(rule, request.describe(times.sigtermAt)));
--- a/daemon/src/test/java/trailthread/daemon/soak/Scenario.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/Scenario.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import trailthread.testkit.SystemCallFaults.Call;
 import trailthread.testkit.TestCluster;
 
 /**
@@ -17,6 +18,9 @@
  * @param burstClients how many clients connect soon after SIGTERM, for one request each
  * @param busyThreads how many threads compete with the program for the CPUs
  * @param busyFromMs when these threads begin, in milliseconds after SIGTERM
+ * @param serviceMs how long clients send before SIGTERM, in milliseconds
+ * @param reconnectShare the share of responses after which a client closes its connection
+ * @param faults the program's system calls that fail, from before SIGTERM to its end
  */
 record Scenario(
         long seed,
@@ -28,10 +32,28 @@
         int idleConnections,
         int burstClients,
         int busyThreads,
-        int busyFromMs) {
+        int busyFromMs,
+        int serviceMs,
+        double reconnectShare,
+        List<SystemCallFault> faults) {
     private static final int[] DEADLINES_MS = {150, 300, 600, 1_200, 2_500, 4_000};
     private static final int[] BUSY_THREADS = {0, 0, 8, 48};
 
+    /** Makes the first numbers drawn from neighbouring seeds differ. */
+    private static final long SEED_FACTOR = 0x9E3779B97F4A7C15L;
+
+    private static final int SERVICE_MS = 500;
+
+    /** Long enough for failures of calls to add up before the shutdown. */
+    private static final int FAULTY_SERVICE_MS = 2_500;
+
+    private static final double RECONNECT_SHARE = 0.3;
+
+    /** The limits on the calls that fail, of a thousand. */
+    private static final int MAX_ACCEPTS_FAILING = 500;
+
+    private static final int MAX_OTHERS_FAILING = 100;
+
     /** Before a reload that shortens them, deadlines are this many times longer. */
     private static final int DEADLINE_FACTOR_BEFORE_RELOAD = 4;
 
@@ -59,8 +81,30 @@
      */
     record ServerMix(double late, double never, double half) {}
 
+    /** A system call of which so many of a thousand fail or, if short, transfer few bytes. */
+    record SystemCallFault(Call call, int perThousand, boolean isShort) {}
+
+    /** Draws the scenario of a seed in which system calls fail, too. */
+    static Scenario withSystemCallFaults(long seed) {
+        Random random = new Random(seed * SEED_FACTOR);
+        List<SystemCallFault> faults = new ArrayList<>();
+        for (Call call : Call.values()) {
+            int limit = call == Call.ACCEPT ? MAX_ACCEPTS_FAILING : MAX_OTHERS_FAILING;
+            if (random.nextBoolean()) {
+                faults.add(
+                        new SystemCallFault(call, 1 + random.nextInt(limit), random.nextBoolean()));
+            }
+        }
+        return of(seed, FAULTY_SERVICE_MS, RECONNECT_SHARE, faults);
+    }
+
     /** Draws the scenario of a seed. */
     static Scenario of(long seed) {
+        return of(seed, SERVICE_MS, 0, List.of());
+    }
+
+    private static Scenario of(
+            long seed, int serviceMs, double reconnectShare, List<SystemCallFault> faults) {
         Random random = new Random(seed);
         List<Integer> deadlinesMs = new ArrayList<>();
         for (RequestKind ignored : RequestKind.values()) {
@@ -83,7 +127,10 @@
                 crowd ? 40 + random.nextInt(61) : 0,
                 crowd ? 10 + random.nextInt(31) : 0,
                 BUSY_THREADS[random.nextInt(BUSY_THREADS.length)],
-                random.nextInt(800));
+                random.nextInt(800),
+                serviceMs,
+                reconnectShare,
+                faults);
     }
 
     private static ServerMix serverMix(Random random, double hangingShare) {
@@ -131,6 +178,11 @@
         return KILL_AFTER_MS + Math.min(longestDeadlineMs(), MAX_COUNTED_DEADLINE_MS);
     }
 
+    /** Whether the program closes unused connections only as it shuts down. */
+    boolean keepsUnusedConnections() {
+        return idleConnections == 0;
+    }
+
     private boolean reloads() {
         return signals.stream().anyMatch(signal -> signal.name().equals(HANGUP));
     }
--- a/daemon/src/test/java/trailthread/daemon/soak/ShutdownSoak.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/ShutdownSoak.java
@@ -19,9 +19,10 @@
         this.out = out;
     }
 
-    /** Runs the scenario of a seed once. */
-    void run(long seed) throws Exception {
-        SoakRun.Result result = SoakRun.run(Scenario.of(seed));
+    /** Runs a scenario once. */
+    void run(Scenario scenario) throws Exception {
+        long seed = scenario.seed();
+        SoakRun.Result result = SoakRun.run(scenario);
         runs++;
         if (result.isVoid()) {
             voidRuns++;
--- a/daemon/src/test/java/trailthread/daemon/soak/ShutdownSoakTest.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/ShutdownSoakTest.java
@@ -20,7 +20,7 @@
     public void nothingIsLostUnderAnySeed() throws Exception {
         String[] range = SEEDS.split("-");
         for (long seed = Long.parseLong(range[0]); seed <= Long.parseLong(range[1]); seed++) {
-            soak.run(seed);
+            soak.run(Scenario.of(seed));
         }
         assertPassed();
     }
@@ -29,7 +29,7 @@
     @Test
     public void nothingIsLostUnderSeedsThatBrokeBesideHeavyLoad() throws Exception {
         for (long seed : SEEDS_BROKEN_UNDER_LOAD) {
-            soak.run(seed);
+            soak.run(Scenario.of(seed));
         }
         assertPassed();
     }
--- a/daemon/src/test/java/trailthread/daemon/soak/SoakClient.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/SoakClient.java
@@ -101,7 +101,9 @@
             return;
         }
         request.ended(response.startLine(), true);
-        if ("close".equals(response.header("Connection"))) {
+        request.responseBody = response.body();
+        boolean reconnects = random.nextDouble() < run.scenario().reconnectShare();
+        if (reconnects || "close".equals(response.header("Connection"))) {
             disconnect();
         }
     }
--- a/daemon/src/test/java/trailthread/daemon/soak/SoakRun.java
+++ b/daemon/src/test/java/trailthread/daemon/soak/SoakRun.java
@@ -13,6 +13,7 @@
 import trailthread.testkit.Message;
 import trailthread.testkit.SchedulingDelayMeter;
 import trailthread.testkit.ScriptedServer;
+import trailthread.testkit.SystemCallFaults;
 import trailthread.testkit.TestCluster;
 
 /** One run of the program under a {@link Scenario}, from its start to its exit. */
@@ -20,9 +21,6 @@
     /** The descriptor limit of the program; idle connections may use up its share for clients. */
     private static final int DESCRIPTORS = 256;
 
-    /** How long clients send before SIGTERM. */
-    private static final int WARM_UP_MS = 500;
-
     /** New connections arrive for this long after SIGTERM. */
     private static final int NEW_CONNECTIONS_MS = 400;
 
@@ -57,9 +55,18 @@
     private long marginBeforeKillMs;
     private volatile boolean finished;
 
-    private SoakRun(Scenario scenario) throws IOException {
+    /** Null if no system call fails. */
+    private final SystemCallFaults systemCallFaults;
+
+    private SoakRun(Scenario scenario) throws IOException, InterruptedException {
         this.scenario = scenario;
         cluster.descriptorLimit = DESCRIPTORS;
+        if (scenario.faults().isEmpty()) {
+            systemCallFaults = null;
+        } else {
+            systemCallFaults = cluster.closeAtEnd(new SystemCallFaults(scenario.seed()));
+            cluster.launcher = systemCallFaults.launcher();
+        }
     }
 
     /** Runs a scenario. */
@@ -89,8 +96,9 @@
             servers[i] = server(scenario.servers().get(i), scenario.seed() + i);
         }
         cluster.start(scenario.settingsAtStart(), servers);
+        scenario.faults().forEach(this::inject);
         startClients();
-        Thread.sleep(WARM_UP_MS);
+        Thread.sleep(scenario.serviceMs());
         for (int i = 0; i < scenario.busyThreads(); i++) {
             start(this::keepCpuBusyLater);
         }
@@ -104,10 +112,17 @@
             thread.join();
         }
         marginBeforeKillMs = marginBeforeKillMs(times.killedAt());
-        violations.addAll(RuleChecker.check(requests.values(), times));
+        violations.addAll(RuleChecker.check(scenario, requests.values(), times));
         return violations;
     }
 
+    private void inject(Scenario.SystemCallFault fault) {
+        if (fault.isShort()) {
+            systemCallFaults.transferFewBytes(fault.call());
+        }
+        systemCallFaults.failRandomly(fault.call(), fault.perThousand());
+    }
+
     private long marginBeforeKillMs(long killedAt) {
         return requests.values().stream()
                 .filter(request -> request.answered && killedAt != RequestHistory.NEVER)
@@ -135,7 +150,7 @@
         if (drawn < mix.never() + mix.half() + mix.late()) {
             pause(random.nextInt(request.deadlineMs * 3 / 2));
         }
-        message.respond("200 OK", "", "made");
+        message.respond("200 OK", "", request.id);
     }
 
     private static void pause(long ms) {
@@ -155,7 +170,7 @@
             start(new SoakClient(this, random.nextLong(), Integer.MAX_VALUE, 0));
         }
         for (int i = 0; i < scenario.burstClients(); i++) {
-            int startsAfterMs = WARM_UP_MS + random.nextInt(NEW_CONNECTIONS_MS);
+            int startsAfterMs = scenario.serviceMs() + random.nextInt(NEW_CONNECTIONS_MS);
             start(new SoakClient(this, random.nextLong(), 1, startsAfterMs));
         }
     }
