Fail an exchange at once when handling its bytes throws an exception

A caller whose attempt met an unexpected exception waited until its time was over: seen with interrupted writes, where RequestWriter threw IllegalArgumentException, the task died, and the attempt stayed, with its connection, until its timeout of 1001 ms.

Cause: the event loop and XNIO log what a task throws and go on; nobody ended the exchange that the task had been working on.

HttpConnection and RequestWriter end it now: logged with the stack trace, the connection is closed, and the attempt fails by the usual way, so that it is retried or answered as its class allows.

--- a/daemon/src/test/java/trailthread/daemon/InterruptedCallsTest.java
+++ b/daemon/src/test/java/trailthread/daemon/InterruptedCallsTest.java
@@ -27,6 +27,8 @@
     private static final List<String> RESPONSE_FRAMINGS =
             List.of("Content-Length", "Transfer-Encoding", "Connection");
 
+    private static final String NO_MESSAGE_HELD = "trailthread_message_memory_bytes 0.0";
+
     private SystemCallFaults faults;
 
     @Before
@@ -92,6 +94,7 @@
             assertTrue(call + " was never changed", faults.injected(call) > 0);
             faults.failRandomly(call, 0);
         }
+        cluster.awaitMetricLine("/metrics", NO_MESSAGE_HELD);
         assertTrue(
                 cluster.log.toString(),
                 cluster.log.stream().noneMatch(line -> line.contains("Exception")));
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -21,6 +23,8 @@
  * connect nor close a connection before its request has been written.
  */
 public final class HttpConnection {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpConnection.class);
+
     private final EventLoop loop;
     private final StreamConnection connection;
     private final ConduitStreamSourceChannel source;
@@ -215,6 +219,9 @@
             }
         } catch (IOException e) {
             fail("breaks the connection");
+        } catch (RuntimeException e) {
+            LOG.error("a response is failed, as reading it threw an exception", e);
+            fail("sends a response that this program can't handle");
         }
     }
 
--- a/engine/src/main/java/trailthread/engine/http/RequestWriter.java
+++ b/engine/src/main/java/trailthread/engine/http/RequestWriter.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import trailthread.engine.loop.EventLoop;
 
@@ -28,6 +30,7 @@
      */
     private static final int MAX_WRITE_BYTES = 64 * 1024;
 
+    private static final Logger LOG = LoggerFactory.getLogger(RequestWriter.class);
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
     private final EventLoop loop;
@@ -85,6 +88,9 @@
             }
         } catch (IOException e) {
             listener.exchangeFailed("breaks the connection while the request is sent");
+        } catch (RuntimeException e) {
+            LOG.error("a request is failed, as writing it threw an exception", e);
+            listener.exchangeFailed("is sent a request that this program can't write");
         }
     }
 
--- a/engine/src/test/java/trailthread/engine/http/HttpConnectionTest.java
+++ b/engine/src/test/java/trailthread/engine/http/HttpConnectionTest.java
@@ -276,4 +276,71 @@
         assertFalse(sent.poll(30, TimeUnit.SECONDS));
         assertEquals("request failed", nextEvent());
     }
+
+    /**
+     * Guards against requests that hang after a task that handles their bytes threw an exception.
+     */
+    @Test
+    public void anExceptionFailsTheExchangeAtOnce() throws Exception {
+        for (String thrownBy : List.of("mayWriteRequest", "headReceived")) {
+            HttpConnection connection = connect();
+            Socket endpoint = server.accept();
+            loop.execute(
+                    () ->
+                            connection.send(
+                                    ascii("GET / HTTP/1.1\r\n\r\n"),
+                                    LONG_BODY_BYTES,
+                                    throwing(thrownBy)));
+            if (thrownBy.equals("headReceived")) {
+                assertEquals("request sent", nextEvent());
+                respond(endpoint, 0);
+            }
+            assertEquals("request failed", nextEvent());
+            BlockingQueue<Boolean> idle = new LinkedBlockingQueue<>();
+            loop.execute(() -> idle.add(connection.isIdle()));
+            assertFalse(idle.poll(30, TimeUnit.SECONDS));
+            endpoint.close();
+        }
+    }
+
+    /** A listener of which one method throws an exception. */
+    private ResponseListener throwing(String method) {
+        ResponseListener recorder = recorder("request");
+        return new ResponseListener() {
+            private void throwIn(String current) {
+                if (current.equals(method)) {
+                    throw new IllegalStateException("thrown by the test in " + current);
+                }
+            }
+
+            @Override
+            public boolean mayWriteRequest() {
+                throwIn("mayWriteRequest");
+                return true;
+            }
+
+            @Override
+            public void requestSent() {
+                recorder.requestSent();
+            }
+
+            @Override
+            public void headReceived(int status, HeaderMap headers) {
+                throwIn("headReceived");
+            }
+
+            @Override
+            public void bodyReceived(ByteBuffer piece) {}
+
+            @Override
+            public void responseCompleted() {
+                recorder.responseCompleted();
+            }
+
+            @Override
+            public void exchangeFailed(String reason) {
+                recorder.exchangeFailed(reason);
+            }
+        };
+    }
 }
