--- a/daemon/src/main/java/trailthread/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/AdminServer.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.nio.channels.UnresolvedAddressException;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -137,7 +136,7 @@
     private InetSocketAddress bind(InetSocketAddress address) throws BindException {
         try {
             return acceptor.listen(address, BACKLOG);
-        } catch (IOException | UnresolvedAddressException e) {
+        } catch (IOException e) {
             throw new BindException("management: " + address + ": " + e.getMessage());
         }
     }
--- a/engine/src/main/java/trailthread/engine/socket/TcpAcceptor.java
+++ b/engine/src/main/java/trailthread/engine/socket/TcpAcceptor.java
@@ -1,6 +1,7 @@
 package trailthread.engine.socket;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
@@ -92,6 +93,9 @@
      * @throws IOException if the address can't be bound
      */
     public InetSocketAddress listen(InetSocketAddress address, int backlog) throws IOException {
+        if (address.isUnresolved()) {
+            throw new BindException("unknown host " + address.getHostString());
+        }
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
