Name the accepting class TcpListener, as the glossary has it

"Acceptor" is a word of the earlier house style; the glossary's word is listener. No change of behaviour. TcpListenerTest, AcceptFailureTest and ArchitectureTest pass.

--- a/daemon/src/main/java/trailthread/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/trailthread/daemon/admin/AdminServer.java
@@ -15,7 +15,7 @@
 import trailthread.engine.metrics.MetricsRecorder;
 import trailthread.engine.metrics.NodeControl;
 import trailthread.engine.metrics.NodeStatus;
-import trailthread.engine.socket.TcpAcceptor;
+import trailthread.engine.socket.TcpListener;
 
 /**
  * The operators' HTTP server: {@code /metrics} for Prometheus, {@code /status} in JSON, {@code
@@ -45,7 +45,7 @@
     private final NodeMetrics metrics;
     private final MetricsCache cache;
     private final AdminConnections connections;
-    private TcpAcceptor acceptor;
+    private TcpListener tcpListener;
     private boolean acceptsSuspended;
     private boolean closed;
 
@@ -106,8 +106,8 @@
             throws IOException {
         HttpOpenListener http = httpListener(control);
         int maxOpen = limits.maxConnections() + 1; // one more, to be rejected
-        acceptor =
-                new TcpAcceptor(
+        tcpListener =
+                new TcpListener(
                         loop, maxOpen, (connection, waitingSince) -> opened(connection, http));
         InetSocketAddress bound = bind(address);
         loop.execute(this::measureLateness);
@@ -135,7 +135,7 @@
 
     private InetSocketAddress bind(InetSocketAddress address) throws BindException {
         try {
-            return acceptor.listen(address, BACKLOG);
+            return tcpListener.listen(address, BACKLOG);
         } catch (IOException e) {
             throw new BindException("management: " + address + ": " + e.getMessage());
         }
@@ -146,7 +146,7 @@
         loop.execute(
                 () -> {
                     closed = true;
-                    acceptor.close();
+                    tcpListener.close();
                     connections.closeAll();
                 });
     }
@@ -180,14 +180,14 @@
             return;
         }
         acceptsSuspended = true;
-        acceptor.suspend();
+        tcpListener.suspend();
         loop.schedule(limits.minAcceptIntervalNs(), this::resumeAccepts);
     }
 
     private void resumeAccepts() {
         acceptsSuspended = false;
         if (!closed) {
-            acceptor.resume();
+            tcpListener.resume();
         }
     }
 }
--- a/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpListener.java
@@ -10,7 +10,7 @@
 import org.xnio.StreamConnection;
 import trailthread.engine.loop.EventLoop;
 import trailthread.engine.metrics.MetricsRecorder;
-import trailthread.engine.socket.TcpAcceptor;
+import trailthread.engine.socket.TcpListener;
 
 /**
  * Accepts clients' HTTP connections, closes them when they are unused or the node shuts down, and
@@ -31,7 +31,7 @@
     private final RequestReceiver receiver;
     private final int maxConnections;
     private final HttpOpenListener http;
-    private TcpAcceptor acceptor;
+    private TcpListener tcpListener;
 
     /** Whether other processes also accept from the listening socket. */
     private boolean shared;
@@ -65,8 +65,8 @@
      * @throws IOException if the address can't be bound
      */
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        acceptor = new TcpAcceptor(loop, maxConnections, this::accepted);
-        return acceptor.listen(address, BACKLOG);
+        tcpListener = new TcpListener(loop, maxConnections, this::accepted);
+        return tcpListener.listen(address, BACKLOG);
     }
 
     /**
@@ -77,9 +77,9 @@
      * @throws IOException if the socket can't be accepted from
      */
     public void listenOnInherited(ServerSocketChannel inherited) throws IOException {
-        acceptor.close();
-        acceptor = new TcpAcceptor(loop, maxConnections, this::accepted);
-        acceptor.acceptFrom(inherited);
+        tcpListener.close();
+        tcpListener = new TcpListener(loop, maxConnections, this::accepted);
+        tcpListener.acceptFrom(inherited);
         shared = true;
     }
 
@@ -90,7 +90,7 @@
      */
     public boolean stopAcceptingIfShared() {
         if (shared) {
-            acceptor.suspend();
+            tcpListener.suspend();
         }
         return shared;
     }
@@ -177,7 +177,7 @@
         if (stopAcceptingIfShared()) {
             closeConnections.run();
         } else {
-            acceptor.finish(ACCEPT_GRACE_NS, closeConnections);
+            tcpListener.finish(ACCEPT_GRACE_NS, closeConnections);
         }
     }
 }
--- a/engine/src/main/java/trailthread/engine/socket/TcpAcceptor.java
+++ b/engine/src/main/java/trailthread/engine/socket/TcpListener.java
@@ -21,9 +21,9 @@
  *
  * <p>All methods but {@link #listen} and {@link #acceptFrom} are to be called on the loop's thread.
  */
-public final class TcpAcceptor {
+public final class TcpListener {
     /** Receives accepted connections. */
-    public interface Listener {
+    public interface AcceptHandler {
         /**
          * A connection was accepted.
          *
@@ -33,7 +33,7 @@
         void accepted(StreamConnection connection, long waitingSince);
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(TcpAcceptor.class);
+    private static final Logger LOG = LoggerFactory.getLogger(TcpListener.class);
 
     /** How many connections are accepted before the other ready sockets are served. */
     private static final int MAX_ACCEPTS_PER_PASS = 128;
@@ -53,7 +53,7 @@
 
     private final EventLoop loop;
     private final int maxOpen;
-    private final Listener listener;
+    private final AcceptHandler handler;
     private ListeningTcpSocket socket;
     private int openCount;
     private boolean suspended;
@@ -68,20 +68,20 @@
     private int unloggedFailures;
     private long lastLoggedAt;
 
-    /** Runs once the acceptor has closed its socket; null before {@link #finish}. */
+    /** Runs once the socket is closed; null before {@link #finish}. */
     private Runnable onFinished;
 
     private boolean closed;
 
     /**
-     * Creates an acceptor without a socket.
+     * Creates a listener without a socket.
      *
      * @param maxOpen how many connections may be open; further ones wait to be accepted
      */
-    public TcpAcceptor(EventLoop loop, int maxOpen, Listener listener) {
+    public TcpListener(EventLoop loop, int maxOpen, AcceptHandler handler) {
         this.loop = loop;
         this.maxOpen = maxOpen;
-        this.listener = listener;
+        this.handler = handler;
         lastLoggedAt = loop.now() - LOG_INTERVAL_NS;
     }
 
@@ -218,9 +218,9 @@
         openCount++;
         RepeatingConduits.addTo(connection);
         try {
-            listener.accepted(connection, Math.min(waitingSince, loop.arrivedNotBefore()));
+            handler.accepted(connection, Math.min(waitingSince, loop.arrivedNotBefore()));
         } catch (RuntimeException e) {
-            LOG.error("a new connection is closed, as its listener threw an exception", e);
+            LOG.error("a new connection is closed, as its handler threw an exception", e);
             IoUtils.safeClose(connection);
         }
     }
--- a/engine/src/test/java/trailthread/engine/socket/TcpAcceptorTest.java
+++ b/engine/src/test/java/trailthread/engine/socket/TcpListenerTest.java
@@ -23,7 +23,7 @@
 import trailthread.engine.loop.EventLoop;
 
 /** Connections are accepted up to a limit, and all that wait before the socket is closed. */
-public class TcpAcceptorTest {
+public class TcpListenerTest {
     private static final int BACKLOG = 50;
     private static final int MAX_OPEN = 3;
     private static final int TIMEOUT_S = 30;
@@ -33,8 +33,8 @@
     private final BlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
     private final List<Socket> clients = new ArrayList<>();
 
-    public TcpAcceptorTest() throws IOException {
-        loop = new EventLoop("acceptor");
+    public TcpListenerTest() throws IOException {
+        loop = new EventLoop("listener");
     }
 
     @After
@@ -45,13 +45,13 @@
         loop.xnioWorker().shutdownNow();
     }
 
-    private TcpAcceptor acceptor(int maxOpen) {
-        return new TcpAcceptor(
+    private TcpListener listener(int maxOpen) {
+        return new TcpListener(
                 loop, maxOpen, (connection, waitingSince) -> accepted.add(connection));
     }
 
-    private static InetSocketAddress listen(TcpAcceptor acceptor) throws IOException {
-        return acceptor.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+    private static InetSocketAddress listen(TcpListener listener) throws IOException {
+        return listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
     }
 
     private void connect(InetSocketAddress address, int count) throws IOException {
@@ -75,7 +75,7 @@
 
     @Test
     public void connectionsPastTheLimitWaitUntilOneIsClosed() throws Exception {
-        InetSocketAddress address = listen(acceptor(MAX_OPEN));
+        InetSocketAddress address = listen(listener(MAX_OPEN));
         connect(address, MAX_OPEN + 1);
         StreamConnection first = nextAccepted();
         for (int i = 1; i < MAX_OPEN; i++) {
@@ -90,8 +90,8 @@
     /** Guards against connections that are reset as they wait when the listening socket closes. */
     @Test
     public void connectionsThatWaitAreAcceptedBeforeTheSocketIsClosed() throws Exception {
-        TcpAcceptor acceptor = acceptor(2 * BACKLOG);
-        InetSocketAddress address = listen(acceptor);
+        TcpListener listener = listener(2 * BACKLOG);
+        InetSocketAddress address = listen(listener);
         CountDownLatch connected = new CountDownLatch(1);
         BlockingQueue<Integer> acceptedAtEnd = new LinkedBlockingQueue<>();
         loop.execute(
@@ -101,7 +101,7 @@
                     } catch (InterruptedException e) {
                         throw new AssertionError(e);
                     }
-                    acceptor.finish(FINISH_NS, () -> acceptedAtEnd.add(accepted.size()));
+                    listener.finish(FINISH_NS, () -> acceptedAtEnd.add(accepted.size()));
                 });
         connect(address, BACKLOG);
         connected.countDown();
@@ -113,7 +113,7 @@
     public void anUnknownHostCannotBeBound() {
         InetSocketAddress unknown = InetSocketAddress.createUnresolved("host.invalid", 0);
         BindException e =
-                assertThrows(BindException.class, () -> acceptor(1).listen(unknown, BACKLOG));
+                assertThrows(BindException.class, () -> listener(1).listen(unknown, BACKLOG));
         assertEquals("unknown host host.invalid", e.getMessage());
     }
 }
