Let TcpListenerTest fail when the loop has not served its sockets in time

Cause: awaitSocketsServed ignored whether its wait had timed out, so the check of the limit on open connections could pass without having waited. Change: the wait is asserted. The test passes with it.

--- a/engine/src/test/java/trailthread/engine/socket/TcpListenerTest.java
+++ b/engine/src/test/java/trailthread/engine/socket/TcpListenerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.BindException;
@@ -70,7 +71,7 @@
     private void awaitSocketsServed() throws InterruptedException {
         CountDownLatch served = new CountDownLatch(1);
         loop.execute(() -> loop.afterSockets(served::countDown));
-        served.await(TIMEOUT_S, TimeUnit.SECONDS);
+        assertTrue("the loop is stuck", served.await(TIMEOUT_S, TimeUnit.SECONDS));
     }
 
     @Test
