Add a failing test of files that lack a required key of a request class

Each key that a class must have is left out, given twice, and given with a wrong type and out of range. Seen: of 20 such files nine are accepted, among them those without the group or the window of a class whose requests have idempotency keys, and five are rejected by a message that does not name the key.

--- a/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
@@ -10,6 +10,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.junit.Test;
 import trailthread.api.Idempotency;
@@ -143,6 +145,60 @@
         }
     }
 
+    private static String edited(String key, String replacement) {
+        String edited = GOOD.replaceAll(key, replacement);
+        assertTrue(key + " is in the file", !edited.equals(GOOD));
+        return edited;
+    }
+
+    /** Guards against keyed requests that run in two cells after a file without their group. */
+    @Test
+    public void aFileWithoutARequiredKeyOfAClassIsRejected() {
+        String[][] cases = {
+            {edited("\"name\":\"use\",", ""), "categories.2.name"},
+            {edited("\"name\":\"use\"", "\"name\":5"), "categories.2.name"},
+            {edited("\"name\":\"use\"", "\"name\":\"state\""), "categories.2.name"},
+            {edited("\"aim_ns\":10000000000,(?=[^}]*fragile)", ""), "categories.2.aim_ns"},
+            {edited("\"aim_ns\":10000000000", "\"aim_ns\":false"), "categories.0.aim_ns"},
+            {edited("\"aim_ns\":10000000000", "\"aim_ns\":-1"), "categories.0.aim_ns"},
+            {edited("\"deadline_ns\":20000000000,(?=[^}]*dedup)", ""), "categories.1.deadline_ns"},
+            {
+                edited("\"deadline_ns\":20000000000", "\"deadline_ns\":0"),
+                "categories.0.deadline_ns"
+            },
+            {
+                edited("\"deadline_ns\":20000000000", "\"deadline_ns\":[]"),
+                "categories.0.deadline_ns"
+            },
+            {edited("\"semantics\":\"dedup\",", ""), "categories.1.semantics"},
+            {edited("\"semantics\":\"dedup\"", "\"semantics\":null"), "categories.1.semantics"},
+            {edited("\"semantics\":\"dedup\"", "\"semantics\":1"), "categories.1.semantics"},
+            {edited("\"group\":\"cell\",", ""), "categories.1.group"},
+            {edited("\"group\":\"cell\"", "\"group\":null"), "categories.1.group"},
+            {edited("\"group\":\"cell\"", "\"group\":\"row\""), "categories.1.group"},
+            {edited("\"group\":\"cell\"", "\"group\":{\"cell\":1}"), "categories.1.group"},
+            {edited("(\"group\":\"cell\")", "$1,\"group\":\"all\""), "categories.1.group"},
+            {edited(",\"window_ns\":20000000000", ""), "categories.1.window_ns"},
+            {edited("\"window_ns\":20000000000", "\"window_ns\":-1"), "categories.1.window_ns"},
+            {
+                edited("\"window_ns\":20000000000", "\"window_ns\":\"long\""),
+                "categories.1.window_ns"
+            },
+        };
+        List<String> wrong = new ArrayList<>();
+        for (String[] c : cases) {
+            try {
+                parse(c[0], Map.of());
+                wrong.add("accepted, with a wrong " + c[1]);
+            } catch (ConfigException e) {
+                if (!e.getMessage().contains(c[1])) {
+                    wrong.add("without the name of " + c[1] + ": " + e.getMessage());
+                }
+            }
+        }
+        assertEquals(List.of(), wrong);
+    }
+
     /**
      * The environment variable is as old as the process, so a changed file overrides it; an
      * unchanged file must not.
