Reject a file in which a class lacks a required key, whatever its neighbours have

Cause: which keys are required was guessed from the file in force, in lists those that all items have, and a default stood in for the rest, for `group` the one that permits most. Change: RequiredClassKey is the table of each class's keys, by its kind, with type and range. The message names file, key and class.

--- a/daemon/src/main/java/trailthread/daemon/ConfigException.java
+++ b/daemon/src/main/java/trailthread/daemon/ConfigException.java
@@ -14,6 +14,11 @@
         super(key + ": expected " + expected);
     }
 
+    /** Reports an error together with the file that has it. */
+    ConfigException(String file, ConfigException cause) {
+        super(file + ": " + cause.getMessage(), cause);
+    }
+
     /** Reports an error whose message already names the key. */
     ConfigException(IllegalArgumentException cause) {
         super(cause.getMessage(), cause);
--- a/daemon/src/main/java/trailthread/daemon/ConfigKeys.java
+++ b/daemon/src/main/java/trailthread/daemon/ConfigKeys.java
@@ -9,7 +9,7 @@
 
 /**
  * The keys present in a configuration file, by their dotted paths. Used to detect keys that are
- * missing from a reloaded file.
+ * repeated, or missing from a reloaded file.
  *
  * <p>The items of a list ({@code list.0.key}) are compared as a group: a key that all items of the
  * old list have is expected in each item of the new one.
@@ -20,18 +20,31 @@
     /** The keys of each list item, by the item's path. */
     private final Map<String, Set<String>> itemKeys = new HashMap<>();
 
+    /** The first key that was added twice, or null. */
+    private String firstRepeated;
+
     /** Adds a key by its dotted path. */
     void add(String path) {
+        if (!addIfAbsent(path) && firstRepeated == null) {
+            firstRepeated = path;
+        }
+    }
+
+    private boolean addIfAbsent(String path) {
         String[] parts = path.split("\\.");
         for (int i = 1; i < parts.length - 1; i++) {
             if (isIndex(parts[i])) {
                 String item = String.join(".", Arrays.copyOf(parts, i + 1));
-                itemKeys.computeIfAbsent(item, unused -> new TreeSet<>())
+                return itemKeys.computeIfAbsent(item, unused -> new TreeSet<>())
                         .add(path.substring(item.length() + 1));
-                return;
             }
         }
-        plainKeys.add(path);
+        return plainKeys.add(path);
+    }
+
+    /** The first key that the file has more than once, or null if there is none. */
+    String firstRepeated() {
+        return firstRepeated;
     }
 
     private static boolean isIndex(String part) {
--- a/daemon/src/main/java/trailthread/daemon/NodeConfig.java
+++ b/daemon/src/main/java/trailthread/daemon/NodeConfig.java
@@ -57,6 +57,8 @@
         String file = environment.getOrDefault(FILE_VARIABLE, "");
         try (Reader reader = Files.newBufferedReader(Path.of(file))) {
             return new NodeConfigParser(environment).parse(reader);
+        } catch (ConfigException e) {
+            throw new ConfigException(file, e);
         } catch (IOException e) {
             throw new ConfigException(FILE_VARIABLE, "a readable file, got '" + file + "'");
         }
--- a/daemon/src/main/java/trailthread/daemon/NodeConfigParser.java
+++ b/daemon/src/main/java/trailthread/daemon/NodeConfigParser.java
@@ -37,6 +37,7 @@
     private final Map<String, String> environment;
     private final ConfigKeys keys = new ConfigKeys();
     private final SettingsParser settings = new SettingsParser("settings");
+    private final Map<String, JsonFlattener.Value> settingValues = new HashMap<>();
     private String name = "node";
     private String listen = "";
     private String discovery = "";
@@ -104,16 +105,17 @@
                     throw new ConfigException("operator.listen", "the key 'management' instead");
             case "levels" -> {
                 degradation = new HashMap<>();
-                JsonFlattener.flatten(in, degradation::put);
+                JsonFlattener.flatten(in, value -> degradation.put(value.path(), value.text()));
             }
             case "settings" -> JsonFlattener.flatten(in, this::addSetting);
             default -> in.skipValue();
         }
     }
 
-    private void addSetting(String path, String value) {
-        settings.add(path, value);
-        keys.add("settings." + path);
+    private void addSetting(JsonFlattener.Value value) {
+        settings.add(value.path(), value.text());
+        settingValues.put(value.path(), value);
+        keys.add("settings." + value.path());
     }
 
     private static int readDescriptorLimit(JsonReader in) throws IOException {
@@ -135,6 +137,10 @@
 
     private NodeConfig build() throws ConfigException {
         String adminHostPort = environment.getOrDefault("LB_MANAGEMENT", admin);
+        if (keys.firstRepeated() != null) {
+            throw new ConfigException(keys.firstRepeated(), "the key once");
+        }
+        RequiredClassKey.check(settingValues, settings);
         Settings parsed = settings.parse();
         parsed.check();
         return new NodeConfig(
--- a/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
@@ -224,6 +224,13 @@
             Files.writeString(file, GOOD.replace("\"discovery\"", "\"other\""));
             NodeConfig last = config;
             assertThrows("a truncated file", ConfigException.class, () -> last.reload(environment));
+            Files.writeString(file, edited("\"group\":\"cell\",", ""));
+            ConfigException e = assertThrows(ConfigException.class, () -> last.reload(environment));
+            assertEquals(
+                    file
+                            + ": settings.categories.1.group: expected all, zone or cell"
+                            + " for class 'action'",
+                    e.getMessage());
         } finally {
             Files.delete(file);
         }
--- a/daemon/src/test/java/trailthread/daemon/SettingsReloadTest.java
+++ b/daemon/src/test/java/trailthread/daemon/SettingsReloadTest.java
@@ -110,6 +110,9 @@
             good.replaceFirst("\"deadline_ns\":20000000000", "\"deadline_ns\":1.5"),
             good.replaceFirst("\"deadline_ns\":20000000000", "\"deadline_ns\":true"),
             good.replaceFirst(",\"semantics\":\"retryable\"", ""),
+            good.replace("\"group\":\"cell\",", ""),
+            good.replace("\"group\":\"cell\"", "\"group\":\"cell\",\"group\":\"all\""),
+            good.replace(",\"window_ns\":20000000000", ""),
             good.replaceFirst("\"discovery\":\"[0-9.:]+\"", "\"discovery\":\"there\""),
         };
         for (int i = 0; i < broken.length; i++) {
