Fail a short response that never ends within its request's time

Callers saw: 200, the first bytes, and no end for 10 s, with 1.2 s of time. Cause: a response without a length was streamed 0.1 s after its first bytes, which cancelled the attempt's timeout; only 10 s of silence ended it, and a byte now and then never did. Change: ResponseProgress decides, purely, whether such a response looks like the start of a long one (over 64 KiB, or 2 KiB a second with no silence for half of the request's time). Until it does, it is buffered and the attempt's timeout holds, before and after streaming has begun. Services of plain HTTP keep the old rule, as streams of events may be silent.

--- a/command/src/test/java/trailthread/command/ServicesTest.java
+++ b/command/src/test/java/trailthread/command/ServicesTest.java
@@ -8,6 +8,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -164,6 +165,34 @@
         assertEquals("none such", sendRequest("GET", "/x", "sim.example.org", "").body());
     }
 
+    /** Guards against streams of events that are held back, or cut off at the deadline. */
+    @Test
+    public void aStreamOfEventsIsPassedOnAndOutlastsTheDeadline() throws Exception {
+        startBothServices();
+        CountDownLatch deadlinePassed = new CountDownLatch(1);
+        sim.setScript(
+                request -> {
+                    Message.send(
+                            request.connection(),
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n");
+                    ScriptedServer.await(deadlinePassed);
+                    Message.send(request.connection(), "3\r\ntwo\r\n0\r\n\r\n");
+                });
+        String headers = "X-Time-Left: 0.500\r\nConnection: close\r\n";
+        try (Socket client = cluster.connect()) {
+            Message.send(client, requestHead("GET", "/x", "sim.example.org", headers));
+            StringBuilder received = new StringBuilder();
+            while (received.indexOf("one") < 0) {
+                received.append((char) client.getInputStream().read());
+            }
+            Thread.sleep(1_000); // twice the time of the request
+            deadlinePassed.countDown();
+            received.append(
+                    new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII));
+            assertTrue(received.toString(), received.toString().endsWith("two\r\n0\r\n\r\n"));
+        }
+    }
+
     @Test
     public void aReloadKeepsUnchangedPools() throws Exception {
         startBothServices();
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -216,18 +216,24 @@
         return loop.now() < writeDeadline;
     }
 
-    /** Ends the attempt, unless its response has arrived and only had not been read yet. */
+    /** Ends the attempt, unless its response has arrived, or may take longer. */
     private void handleTimeout() {
         if (connection != null) {
             connection.readArrived();
         }
-        if (isStreaming()) {
-            return; // the bytes that were just read have started a long response
+        if (ended) {
+            return;
         }
-        if (request.bodySource() != null && !ended && loop.now() < dueAt()) {
+        if (request.bodySource() != null && loop.now() < dueAt()) {
             scheduleTimeout();
             return;
         }
+        if (response != null && response.continueAfterTimeout()) {
+            if (!response.isWithoutTimeout()) {
+                timeoutTimer = loop.schedule(response.recheckNs(), this::handleTimeout);
+            }
+            return;
+        }
         endAttempt(isRequestSent() ? Outcome.TIMEOUT : outcomeIfNotSent());
     }
 
@@ -257,7 +263,19 @@
     public void headReceived(int status, HeaderMap headers) {
         response =
                 new AttemptResponse(
-                        loop, this, listener, status, headers, request.forwardedHeaders() != null);
+                        loop,
+                        this,
+                        listener,
+                        status,
+                        headers,
+                        request.forwardedHeaders() != null,
+                        requestNs());
+    }
+
+    /** Returns the time that the client gave its request, or else that of the attempt. */
+    private long requestNs() {
+        long ofClientNs = request.timeoutAfterBodyNs();
+        return ofClientNs > 0 ? ofClientNs : timeoutAt - startedAt;
     }
 
     @Override
@@ -338,9 +356,8 @@
         return ended;
     }
 
-    /** Cancels the attempt's timeout: from now on only a silent endpoint ends the response. */
+    /** Drops the request's body, which is not sent again. */
     void streamingStarted() {
-        cancelTimeout();
         if (isRequestSent()) {
             request = request.withoutBody();
         }
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
@@ -12,20 +12,17 @@
 
 /**
  * The response to one attempt. A short body is buffered, so that a failed attempt can be retried
- * without the client seeing the failure. A longer body, and a slow one of unknown length, is
- * streamed to the client as it arrives.
+ * without the client seeing the failure. A longer body is streamed to the client as it arrives, and
+ * so is a slow one of unknown length, as {@link ResponseProgress} decides.
  */
 final class AttemptResponse {
-    /** A longer body is streamed. */
-    private static final int MAX_BUFFERED_BYTES = 64 * 1024;
-
     private static final int INITIAL_BUFFER_BYTES = 512;
 
     /**
-     * A body of unknown length is streamed this long after its first bytes. Prevents an endpoint
-     * that sends slowly from using up the time of the attempt.
+     * A body of unknown length from an endpoint that serves plain HTTP is streamed this long after
+     * its first bytes: it may be a stream of events.
      */
-    private static final long MAX_BUFFERED_NS = 100_000_000L;
+    private static final long MAX_PLAIN_BUFFERED_NS = 100_000_000L;
 
     /**
      * A streamed response that brings no byte for this long while its sink has capacity is reset.
@@ -39,6 +36,7 @@
     private final AttemptExchange attempt;
     private final AttemptListener listener;
     private final ResponseHead head;
+    private final ResponseProgress progress;
 
     /** Null: only the body goes to the client. */
     private final HeaderMap forwardedHeaders;
@@ -53,7 +51,6 @@
     private ByteSink sink;
 
     private boolean sinkHasCapacity;
-    private long lastPieceAt;
     private XnioExecutor.Key bufferTimer;
     private XnioExecutor.Key silenceTimer;
 
@@ -61,6 +58,7 @@
      * Creates a response whose head has been received.
      *
      * @param isForwarded whether status and headers go to the client as they are
+     * @param requestNs the time of the request, in nanoseconds
      */
     AttemptResponse(
             EventLoop loop,
@@ -68,7 +66,8 @@
             AttemptListener listener,
             int status,
             HeaderMap headers,
-            boolean isForwarded) {
+            boolean isForwarded,
+            long requestNs) {
         this.loop = loop;
         this.attempt = attempt;
         this.listener = listener;
@@ -76,6 +75,7 @@
         forwardedHeaders = isForwarded ? headers : null;
         String contentLength = headers.getFirst(Headers.CONTENT_LENGTH);
         length = contentLength == null ? UNKNOWN_LENGTH : Long.parseLong(contentLength);
+        progress = new ResponseProgress(length, requestNs);
     }
 
     boolean isStreaming() {
@@ -106,22 +106,46 @@
         if (!isStreaming() && outcome() != Outcome.OK) {
             return; // the body of a failed attempt is not used
         }
-        if (bufferedBytes == 0 && !isStreaming() && length == UNKNOWN_LENGTH) {
-            bufferTimer = loop.schedule(MAX_BUFFERED_NS, this::startStreaming);
+        progress.pieceReceived(piece.remaining(), loop.now());
+        if (bufferTimer == null && !isStreaming() && mayBeEventStream()) {
+            bufferTimer = loop.schedule(MAX_PLAIN_BUFFERED_NS, this::startStreaming);
         }
-        if (!isStreaming() && fitsBuffer(piece) && buffer(piece)) {
+        if (!isStreaming() && !progress.shouldStream(loop.now()) && buffer(piece)) {
             return;
         }
         if (!isStreaming() && !startStreaming()) {
             return;
         }
-        lastPieceAt = loop.now();
         streamPiece(piece);
     }
 
-    private boolean fitsBuffer(ByteBuffer piece) {
-        return bufferedBytes + piece.remaining() <= MAX_BUFFERED_BYTES
-                && length <= MAX_BUFFERED_BYTES;
+    private boolean mayBeEventStream() {
+        return forwardedHeaders != null && length == UNKNOWN_LENGTH;
+    }
+
+    /**
+     * Lets the response go on after its attempt's timeout, if it may; it is streamed from then on.
+     *
+     * @return whether it goes on
+     */
+    boolean continueAfterTimeout() {
+        if (outcome() != Outcome.OK) {
+            return false;
+        }
+        if (isStreaming() && (mayBeEventStream() || !sinkHasCapacity)) {
+            return true;
+        }
+        return progress.mayOutlastTimeout(loop.now()) && (isStreaming() || startStreaming());
+    }
+
+    /** Returns how long after the timeout it is to be asked again whether the response goes on. */
+    long recheckNs() {
+        return progress.recheckNs();
+    }
+
+    /** Returns whether only silence, and no timeout, ends the response from now on. */
+    boolean isWithoutTimeout() {
+        return isStreaming() && (mayBeEventStream() || progress.isLong());
     }
 
     /** Appends to the buffer; returns false if there is no memory for it. */
@@ -179,7 +203,7 @@
 
     private void resumeStreaming() {
         sinkHasCapacity = true;
-        lastPieceAt = loop.now();
+        progress.clientHeldUp(loop.now());
         attempt.resumeReading();
     }
 
@@ -187,7 +211,7 @@
         if (attempt.hasEnded()) {
             return;
         }
-        long silentNs = sinkHasCapacity ? loop.now() - lastPieceAt : 0;
+        long silentNs = sinkHasCapacity ? progress.silentNs(loop.now()) : 0;
         if (silentNs >= MAX_SILENCE_NS) {
             attempt.endAttempt(Outcome.RESET);
         } else {
