Add failing tests of clients that send much at once and leave

A client sends a request and, behind it, 300 kB and more, or all that the sockets take, and closes while its request waits. Seen: its request is sent to the endpoint, as the end of the connection is not read behind 256 KiB of further bytes.

--- a/daemon/src/test/java/trailthread/daemon/listener/ClientDisconnectTest.java
+++ b/daemon/src/test/java/trailthread/daemon/listener/ClientDisconnectTest.java
@@ -9,6 +9,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
@@ -217,6 +219,44 @@
         }
     }
 
+    /** Guards against forwarding the requests of a client that sent much at once and left. */
+    @Test
+    public void disconnectBehindManyPipelinedRequestsPreventsForwarding() throws Exception {
+        String next = TestCluster.requestText("use", "?next", "");
+        for (int kilobytes : new int[] {300, 600, 1_500}) {
+            String request = TestCluster.requestText("use", "", "");
+            Socket client = connect();
+            Message.send(client, request);
+            awaitInFlight(id(request));
+            Message.send(client, next.repeat(1_000 * kilobytes / next.length()));
+            client.close();
+            loop.execute(() -> loop.afterSockets(this::listEndpoint));
+            assertOnlyAConnectedClientIsServed();
+            loop.execute(this::listNoEndpoint);
+        }
+    }
+
+    /** Guards against forwarding a request whose client's disconnect can't be read. */
+    @Test
+    public void disconnectBehindMoreThanIsReadPreventsForwarding() throws Exception {
+        String request = TestCluster.requestText("use", "", "");
+        try (SocketChannel client = SocketChannel.open(address)) {
+            Message.send(client.socket(), request);
+            awaitInFlight(id(request));
+            client.configureBlocking(false);
+            ByteBuffer bytes = ByteBuffer.allocate(1_000_000);
+            for (int passesWithoutProgress = 0; passesWithoutProgress < 10; ) {
+                int written = client.write(bytes.rewind());
+                passesWithoutProgress = written > 0 ? 0 : passesWithoutProgress + 1;
+                CountDownLatch served = new CountDownLatch(1);
+                loop.execute(() -> loop.afterSockets(served::countDown));
+                ScriptedServer.await(served);
+            }
+        }
+        loop.execute(() -> loop.afterSockets(this::listEndpoint));
+        assertOnlyAConnectedClientIsServed();
+    }
+
     /** The client disconnects during the first attempt, so that there is no retry. */
     @Test
     public void disconnectDuringAnAttemptPreventsARetry() throws Exception {
