Begin no attempt for a client that can't be seen to be connected

Cause: behind 256 KiB of further bytes the node did not read, and an end that was not read counted as a client that is connected. Change: PipelinedBytes.read tells three results: closed, all read, more to read. 8 MiB a connection are read, from the memory budget, and all that is there right before an attempt. If more may be left, in this socket or in the client's, the request is refused (or fails, if it may have run) without the attempt. Bytes are appended without moving the others.

--- a/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
+import trailthread.daemon.listener.PipelinedBytes.ReadResult;
 import trailthread.engine.endpoint.EndpointResponse;
 import trailthread.engine.http.ByteSink;
 import trailthread.engine.http.EndToEndHeaders;
@@ -222,15 +223,17 @@
         connection
                 .getChannel()
                 .getSourceChannel()
-                .setReadListener(channel -> readPipelined(connection));
+                .setReadListener(
+                        channel -> readPipelined(connection, EventLoop.MAX_BYTES_PER_PASS));
         connection.getOriginalSourceConduit().resumeReads();
     }
 
     @Override
-    public void checkConnected() {
-        if (onDisconnect != null && !respondedOrDisconnected) {
-            readPipelined(connection());
+    public boolean checkConnected() {
+        if (onDisconnect == null || respondedOrDisconnected) {
+            return true;
         }
+        return readPipelined(connection(), Integer.MAX_VALUE) != ReadResult.MORE_TO_READ;
     }
 
     private AbstractServerConnection connection() {
@@ -241,16 +244,17 @@
      * Reads pipelined bytes. If there is no memory for them, they stay in the socket, and a
      * disconnect behind them is not detected.
      */
-    private void readPipelined(AbstractServerConnection connection) {
-        boolean open;
+    private ReadResult readPipelined(AbstractServerConnection connection, int limitBytes) {
+        ReadResult result;
         try {
-            open = PipelinedBytes.read(connection, budget);
+            result = PipelinedBytes.read(connection, budget, limitBytes);
         } catch (IOException e) {
-            open = false; // a connection that can't be read counts as closed
+            result = ReadResult.CLOSED; // a connection that can't be read counts as closed
         }
-        if (!open) {
+        if (result == ReadResult.CLOSED) {
             handleDisconnect(connection);
         }
+        return result;
     }
 
     private void handleDisconnect(AbstractServerConnection connection) {
--- a/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
@@ -17,8 +17,27 @@
  * from the budget of all messages.
  */
 final class PipelinedBytes implements PooledByteBuffer {
+    /** What a read has found on the connection. */
+    enum ReadResult {
+        /** The client has closed its side. */
+        CLOSED,
+        /** All that has arrived was read, and the client is still connected. */
+        ALL_READ,
+        /**
+         * Bytes may be left in this socket or the client's, and the end of the connection behind
+         * them.
+         */
+        MORE_TO_READ
+    }
+
     /** The maximum buffered for one connection; further bytes stay in its socket. */
-    private static final int MAX_BYTES = 256 * 1024;
+    private static final int MAX_BYTES = 8 * 1024 * 1024;
+
+    /**
+     * With fewer bytes unread, TCP lets the client's socket send all it has, the end of the
+     * connection included.
+     */
+    private static final int MIN_WINDOW_BYTES = 32 * 1024;
 
     private final MemoryReservation memory;
 
@@ -42,7 +61,7 @@
         }
         if (exchange.isRequestComplete()) {
             try {
-                read(connection, memory);
+                read(connection, memory, EventLoop.MAX_BYTES_PER_PASS);
             } catch (IOException e) {
                 return false; // writing the response will fail, too
             }
@@ -55,30 +74,34 @@
      * Reads pipelined bytes and keeps them for the next requests. Bytes for which there is no
      * memory stay in the socket.
      *
-     * @return false if the end of the stream was read: the client has closed its side
+     * @param limitBytes no further piece is read once this many bytes were read
      * @throws IOException if the connection is broken
      */
-    static boolean read(AbstractServerConnection connection, MemoryBudget memory)
+    static ReadResult read(AbstractServerConnection connection, MemoryBudget memory, int limitBytes)
             throws IOException {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
             ByteBuffer piece = pooled.getBuffer();
-            int leftInPass = EventLoop.MAX_BYTES_PER_PASS;
-            int count;
-            do {
+            int readBytes = 0;
+            while (readBytes < limitBytes) {
                 int free = freeBytes(connection, memory);
                 if (free == 0) {
                     source.suspendReads();
-                    return true;
+                    return ReadResult.MORE_TO_READ;
                 }
                 piece.clear().limit(Math.min(piece.capacity(), free));
-                count = source.read(piece);
-                if (count > 0) {
-                    keep(connection, piece.flip());
+                int count = source.read(piece);
+                if (count < 0) {
+                    return ReadResult.CLOSED;
+                }
+                if (count == 0) {
+                    boolean windowWasFull = readBytes >= MIN_WINDOW_BYTES;
+                    return windowWasFull ? ReadResult.MORE_TO_READ : ReadResult.ALL_READ;
                 }
-                leftInPass -= count;
-            } while (count > 0 && leftInPass > 0);
-            return count >= 0;
+                keep(connection, piece.flip());
+                readBytes += count;
+            }
+            return ReadResult.MORE_TO_READ;
         }
     }
 
@@ -114,7 +137,14 @@
             kept.getBuffer().limit(0);
             connection.setExtraBytes(kept);
         }
-        kept.getBuffer().compact().put(piece).flip();
+        ByteBuffer bytes = kept.getBuffer();
+        if (bytes.capacity() - bytes.limit() < piece.remaining()) {
+            bytes.compact().flip();
+        }
+        int start = bytes.position();
+        int end = bytes.limit();
+        bytes.limit(end + piece.remaining()).position(end);
+        bytes.put(piece).position(start);
     }
 
     /**
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -164,11 +164,17 @@
 
         /**
          * Checks the client's connection first. Prevents a loop that runs late from sending a
-         * request whose client has disconnected, if the disconnect is still unread in the socket.
+         * request whose client has disconnected, if the disconnect is still unread in the socket. A
+         * request whose client may have disconnected is answered without this attempt.
          */
         @Override
         public boolean isResponseWanted() {
-            response.checkConnected();
+            boolean known = response.checkConnected();
+            if (!known && mayHaveRun) {
+                fail();
+            } else if (!known) {
+                reject(0);
+            }
             return !finished;
         }
 
--- a/engine/src/main/java/trailthread/engine/request/ClientResponse.java
+++ b/engine/src/main/java/trailthread/engine/request/ClientResponse.java
@@ -28,8 +28,13 @@
     /**
      * Checks whether the client is still connected. If it has disconnected, the disconnect callback
      * of the request has run when this method returns.
+     *
+     * @return false if that can't be told, as the client has sent more behind the request than is
+     *     read
      */
-    default void checkConnected() {}
+    default boolean checkConnected() {
+        return true;
+    }
 
     /**
      * Reserves memory to buffer the response in, until it is released here or the request and its
--- a/engine/src/test/java/trailthread/engine/request/SingleEndpointDispatcher.java
+++ b/engine/src/test/java/trailthread/engine/request/SingleEndpointDispatcher.java
@@ -104,7 +104,7 @@
                         new Class<?>[] {ClientResponse.class},
                         (proxy, method, args) -> {
                             onCall.accept(method.getName());
-                            return null;
+                            return method.getReturnType() == boolean.class ? true : null;
                         });
     }
 }
