--- a/daemon/src/main/java/trailthread/daemon/ConfigException.java
+++ b/daemon/src/main/java/trailthread/daemon/ConfigException.java
@@ -16,7 +16,7 @@
 
     /** Reports an error together with the file that has it. */
     ConfigException(String file, ConfigException cause) {
-        super(file + ": " + cause.getMessage(), cause);
+        super(cause.getMessage() + " in " + file, cause);
     }
 
     /** Reports an error whose message already names the key. */
--- a/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
+++ b/daemon/src/test/java/trailthread/daemon/NodeConfigTest.java
@@ -227,9 +227,8 @@
             Files.writeString(file, edited("\"group\":\"cell\",", ""));
             ConfigException e = assertThrows(ConfigException.class, () -> last.reload(environment));
             assertEquals(
-                    file
-                            + ": settings.categories.1.group: expected all, zone or cell"
-                            + " for class 'action'",
+                    "settings.categories.1.group: expected all, zone or cell for class 'action' in "
+                            + file,
                     e.getMessage());
         } finally {
             Files.delete(file);
