--- a/engine/src/main/java/trailthread/engine/request/ClientResponse.java
+++ b/engine/src/main/java/trailthread/engine/request/ClientResponse.java
@@ -29,8 +29,7 @@
      * Checks whether the client is still connected. If it has disconnected, the disconnect callback
      * of the request has run when this method returns.
      *
-     * @return false if that can't be told, as the client has sent more behind the request than is
-     *     read
+     * @return false if that is unknown, as the client has sent more behind the request than is read
      */
     default boolean checkConnected() {
         return true;
