Let a response that has begun and may be long outlast its attempt and its deadline

Callers got 502 or 503 in place of a sound response of more than 64 KiB whose body came after its head or in pieces with pauses, or a 200 that was cut off; its servers then counted as failing.

Cause: the attempt's timeout ended each response of which no byte of the body had come, or which had been silent for half of its request's time. Over 64 KiB only the first bytes are due; without a length nobody knows what is long.

Evidence: the report's servers were closed by the node at the deadline, or 280 ms after the head where the length was stated.

Change: ResponseProgress alone says until when a response may stay incomplete. Stated as long: only silence ends it. Of unknown length: it has the whole time of the request and 0.45 s, is passed on with a piece that comes after the deadline, and is failed with 502 if none comes; so EndlessResponseTest holds as it is. The balancer is told of such a response (responseBegan), as it answered the request at the deadline. A server that kept the pace is not counted as failing. The log of a failed attempt says what of the response had come, and when.

--- a/decisions/src/main/java/trailthread/AdmissionController.java
+++ b/decisions/src/main/java/trailthread/AdmissionController.java
@@ -61,14 +61,14 @@
 
     /**
      * Until when a queued request may be sent. A request with an attempt in flight may wait until
-     * its deadline. Any other request must be sent half a mean latency before a response stops
-     * earning weight, which is at its latency objective if its class gives late responses no
-     * weight, else at its deadline. A retry must also leave time to connect before {@link
-     * Request#retryableUntil}.
+     * its deadline, or longer if the response has begun. Any other request must be sent half a mean
+     * latency before a response stops earning weight, which is at its latency objective if its
+     * class gives late responses no weight, else at its deadline. A retry must also leave time to
+     * connect before {@link Request#retryableUntil}.
      */
     long sendableUntil(Request request, long now) {
         if (request.inFlight() > 0) {
-            return request.deadline;
+            return Math.max(request.deadline, request.responseHeldUntil);
         }
         RequestClass rules = request.requestClass.rules;
         long usefulUntil = rules.lateWeightShare() > 0 ? request.deadline : request.objectiveAt;
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -251,6 +251,14 @@
 
     // ---- attempts ----
 
+    @Override
+    public void responseBegan(long now, long id, int number, long heldUntil) {
+        Request request = requests.get(id);
+        if (request != null && request.inFlightAttempt(number) != null) {
+            request.responseHeldUntil = heldUntil;
+        }
+    }
+
     @Override
     public void firstByteReceived(long now, long id, int number) {
         Request request = requests.get(id);
--- a/decisions/src/main/java/trailthread/Request.java
+++ b/decisions/src/main/java/trailthread/Request.java
@@ -40,6 +40,12 @@
      */
     boolean overQuota;
 
+    /**
+     * Until when the attempt in flight may last beyond the deadline, as its response has begun; 0:
+     * not beyond it.
+     */
+    long responseHeldUntil;
+
     /** Whether its response has begun to stream to the client. */
     boolean streaming;
 
--- a/decisions/src/main/java/trailthread/api/BalancerEvents.java
+++ b/decisions/src/main/java/trailthread/api/BalancerEvents.java
@@ -29,6 +29,15 @@
             boolean clientRetry,
             long key);
 
+    /**
+     * A response that may be long has begun on this attempt. The request is not answered otherwise
+     * while the attempt is in flight.
+     *
+     * @param heldUntil when the attempt ends unless the response goes on, by the clock of the
+     *     events; it may be later than the request's deadline
+     */
+    void responseBegan(long now, long id, int attempt, long heldUntil);
+
     /** The first byte of a streamed response has been received on this attempt. */
     void firstByteReceived(long now, long id, int attempt);
 
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -46,6 +46,9 @@
     /** No byte of the request may be written then or later. */
     private final long writeDeadline;
 
+    /** When the client's time is over; see {@link #responseDeadline}. */
+    private final long requestDeadline;
+
     private XnioExecutor.Key timeoutTimer;
     private XnioExecutor.Key connectTimer;
 
@@ -86,6 +89,7 @@
             EndpointRequest request,
             long timeoutNs,
             long writeDeadline,
+            long requestDeadline,
             AttemptListener listener) {
         this.loop = loop;
         this.connections = connections;
@@ -96,6 +100,7 @@
         startedAt = loop.now();
         timeoutAt = startedAt + timeoutNs;
         this.writeDeadline = writeDeadline;
+        this.requestDeadline = requestDeadline;
     }
 
     void start() {
@@ -228,13 +233,42 @@
             scheduleTimeout();
             return;
         }
-        if (response != null && response.continueAfterTimeout()) {
-            if (!response.isWithoutTimeout()) {
-                timeoutTimer = loop.schedule(response.recheckNs(), this::handleTimeout);
-            }
+        if (response == null || !response.mayOutlastTimeout()) {
+            endAttempt(isRequestSent() ? Outcome.TIMEOUT : outcomeIfNotSent());
+            return;
+        }
+        long continuesUntil = response.continueAfterTimeout();
+        if (ended || continuesUntil == ResponseProgress.NEVER) {
             return;
         }
-        endAttempt(isRequestSent() ? Outcome.TIMEOUT : outcomeIfNotSent());
+        if (continuesUntil > loop.now()) {
+            timeoutTimer = loop.schedule(continuesUntil - loop.now(), this::handleTimeout);
+        } else {
+            endUnfinishedResponse();
+        }
+    }
+
+    /** Ends a response of unknown length; an endpoint that kept sending it is not at fault. */
+    private void endUnfinishedResponse() {
+        failureReason = "has not completed its response in time";
+        endAttempt(response.hasPace() ? Outcome.CANCELLED : Outcome.TIMEOUT);
+    }
+
+    /**
+     * Returns when the first bytes of a long response are due, and all of a short one. The client's
+     * time counts from the last byte of a streamed body.
+     */
+    long responseDeadline() {
+        return request.bodySource() == null ? requestDeadline : dueAt();
+    }
+
+    /**
+     * Returns until when a response that has begun may still be held; 0 if none has, or if it does
+     * not outlast the attempt's timeout.
+     */
+    public long responseHeldUntil() {
+        boolean mayOutlast = response != null && response.mayOutlastTimeout();
+        return mayOutlast ? responseDeadline() + ResponseProgress.GRACE_NS : 0;
     }
 
     /** Returns whether the request's last byte was written, so that the endpoint may serve it. */
@@ -270,6 +304,9 @@
                         headers,
                         request.forwardedHeaders() != null,
                         requestNs());
+        if (response.mayOutlastTimeout()) {
+            listener.responseBegan(responseHeldUntil());
+        }
     }
 
     /** Returns the time that the client gave its request, or else that of the attempt. */
@@ -445,6 +482,7 @@
                 failureReason,
                 elapsedNs(),
                 isRequestSent(),
-                connectionIdleNs);
+                connectionIdleNs,
+                response == null ? "none" : response.describe());
     }
 }
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptListener.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptListener.java
@@ -13,6 +13,13 @@
     /** The request's last byte has been written. */
     default void requestSent() {}
 
+    /**
+     * A response has begun that may outlast the attempt's timeout.
+     *
+     * @param heldUntil when the attempt ends unless the response goes on, by the loop's clock
+     */
+    default void responseBegan(long heldUntil) {}
+
     /**
      * Reserves memory to buffer the response in.
      *
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
@@ -29,6 +29,7 @@
      */
     private static final long MAX_SILENCE_NS = 10_000_000_000L;
 
+    private static final long NS_PER_MS = 1_000_000L;
     private static final long UNKNOWN_LENGTH = -1;
     private static final byte[] NO_BYTES = {};
 
@@ -38,6 +39,9 @@
     private final ResponseHead head;
     private final ResponseProgress progress;
 
+    /** When the head was received. */
+    private final long receivedAt;
+
     /** Null: only the body goes to the client. */
     private final HeaderMap forwardedHeaders;
 
@@ -71,6 +75,7 @@
         this.loop = loop;
         this.attempt = attempt;
         this.listener = listener;
+        receivedAt = loop.now();
         head = ResponseHead.decode(status, headers);
         forwardedHeaders = isForwarded ? headers : null;
         String contentLength = headers.getFirst(Headers.CONTENT_LENGTH);
@@ -110,7 +115,9 @@
         if (bufferTimer == null && !isStreaming() && mayBeEventStream()) {
             bufferTimer = loop.schedule(MAX_PLAIN_BUFFERED_NS, this::startStreaming);
         }
-        if (!isStreaming() && !progress.shouldStream(loop.now()) && buffer(piece)) {
+        if (!isStreaming()
+                && !progress.shouldStream(loop.now(), attempt.responseDeadline())
+                && buffer(piece)) {
             return;
         }
         if (!isStreaming() && !startStreaming()) {
@@ -124,28 +131,50 @@
     }
 
     /**
-     * Lets the response go on after its attempt's timeout, if it may; it is streamed from then on.
+     * Returns whether the response may last beyond its attempt's timeout. No other attempt can
+     * follow one whose response the client has begun to receive.
+     */
+    boolean mayOutlastTimeout() {
+        return outcome() == Outcome.OK && (isStreaming() || progress.mayOutlastTimeout());
+    }
+
+    /**
+     * Lets a response that {@linkplain #mayOutlastTimeout may outlast} its attempt's timeout go on,
+     * and streams it if its first bytes are due now.
      *
-     * @return whether it goes on
+     * @return when it is to be asked again; now or earlier: its time is over; {@link
+     *     ResponseProgress#NEVER}: only silence ends the response, or the attempt has ended
      */
-    boolean continueAfterTimeout() {
-        if (outcome() != Outcome.OK) {
-            return false;
+    long continueAfterTimeout() {
+        long now = loop.now();
+        long deadline = attempt.responseDeadline();
+        boolean mustStream = !isStreaming() && progress.shouldStream(now, deadline);
+        if (mustStream && !startStreaming()) {
+            return ResponseProgress.NEVER;
         }
-        if (isStreaming() && (mayBeEventStream() || !sinkHasCapacity)) {
-            return true;
+        if (isStreaming() && mayBeEventStream()) {
+            return ResponseProgress.NEVER;
         }
-        return progress.mayOutlastTimeout(loop.now()) && (isStreaming() || startStreaming());
+        boolean heldUpByClient = isStreaming() && !sinkHasCapacity;
+        return heldUpByClient ? now + ResponseProgress.GRACE_NS : progress.dueAt(now, deadline);
     }
 
-    /** Returns how long after the timeout it is to be asked again whether the response goes on. */
-    long recheckNs() {
-        return progress.recheckNs();
+    /** Returns whether the endpoint was sending the body at the pace of a long response. */
+    boolean hasPace() {
+        return progress.hasPace(loop.now());
     }
 
-    /** Returns whether only silence, and no timeout, ends the response from now on. */
-    boolean isWithoutTimeout() {
-        return isStreaming() && (mayBeEventStream() || progress.isLong());
+    /** Returns what has been received, for the log. */
+    String describe() {
+        long receivedBytes = progress.receivedBytes();
+        String pieces =
+                receivedBytes == 0
+                        ? "no body"
+                        : receivedBytes
+                                + " bytes, the last "
+                                + progress.silentNs(loop.now()) / NS_PER_MS
+                                + " ms before";
+        return "head " + (loop.now() - receivedAt) / NS_PER_MS + " ms before, " + pieces;
     }
 
     /** Appends to the buffer; returns false if there is no memory for it. */
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointLog.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointLog.java
@@ -42,6 +42,7 @@
      * @param reason a predicate whose subject is the endpoint, or null
      * @param sent whether the request's last byte was written
      * @param idleNs how long the attempt's connection was idle before, or {@link #NEVER_IDLE}
+     * @param response what was received of the response
      */
     void attemptFailed(
             String requestId,
@@ -50,19 +51,21 @@
             String reason,
             long elapsedNs,
             boolean sent,
-            long idleNs) {
+            long idleNs,
+            String response) {
         if (!attempts.tryAcquire()) {
             return;
         }
         attempts.write(
-                "attempt of request {} at {} ended: {}{} after {} ms, request {}, connection {}",
+                "attempt of request {} at {} ended: {}{} after {} ms, request {}, connection {}, response: {}",
                 requestId == null ? "(health check)" : requestId,
                 endpoint,
                 outcome,
                 reason == null ? "" : " (it " + reason + ")",
                 milliseconds(elapsedNs),
                 sent ? "sent" : "not sent",
-                idleNs == NEVER_IDLE ? "new" : "idle for " + milliseconds(idleNs) + " ms before");
+                idleNs == NEVER_IDLE ? "new" : "idle for " + milliseconds(idleNs) + " ms before",
+                response);
     }
 
     /**
--- a/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/EndpointPool.java
@@ -148,7 +148,8 @@
     /** Starts an attempt whose request may be written until the timeout. */
     public AttemptExchange attempt(
             String instanceId, EndpointRequest request, long timeoutNs, AttemptListener listener) {
-        return attempt(instanceId, request, timeoutNs, Long.MAX_VALUE, listener);
+        long deadline = loop.now() + timeoutNs;
+        return attempt(instanceId, request, timeoutNs, Long.MAX_VALUE, deadline, listener);
     }
 
     /**
@@ -157,6 +158,8 @@
      *
      * @param timeoutNs how long to wait for the response, in nanoseconds
      * @param writeDeadline no byte is written then or later, by {@link EventLoop#now}
+     * @param deadline when the client's time is over, by {@link EventLoop#now}; a long response
+     *     that has begun has this time, also where the attempt's timeout is earlier
      * @param listener is never notified from within this call
      */
     public AttemptExchange attempt(
@@ -164,6 +167,7 @@
             EndpointRequest request,
             long timeoutNs,
             long writeDeadline,
+            long deadline,
             AttemptListener listener) {
         PooledEndpoint endpoint = endpoints.get(instanceId);
         AttemptExchange attempt =
@@ -175,6 +179,7 @@
                         request,
                         timeoutNs,
                         writeDeadline,
+                        deadline,
                         listener);
         loop.execute(() -> account.runCharged(attempt::start));
         return attempt;
--- a/engine/src/main/java/trailthread/engine/endpoint/ResponseProgress.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ResponseProgress.java
@@ -1,15 +1,33 @@
 package trailthread.engine.endpoint;
 
 /**
- * Decides when an incomplete response is streamed to the client, and whether it may outlast its
- * attempt's timeout. A response that may still be short is to be complete by then, so it is
- * buffered unless it looks like the start of a long one. Pure: times are passed in, by one clock,
- * in nanoseconds.
+ * Decides when an incomplete response is streamed to the client, and how long it may stay
+ * incomplete. Pure: times are passed in, by one clock, in nanoseconds.
+ *
+ * <ul>
+ *   <li>Long, by its stated length or by what has been received: only its first bytes are due by
+ *       the request's deadline. It is streamed from its first piece on, or from the deadline.
+ *   <li>Of unknown length: it may be long until {@link #GRACE_NS} after the deadline. It is
+ *       streamed once it has gone on like a long one.
+ *   <li>Of a stated short length: it is to be complete by its attempt's timeout.
+ * </ul>
  */
 final class ResponseProgress {
     /** A longer body is long: its first bytes are due in time, not its last. */
     static final int MAX_SHORT_BYTES = 64 * 1024;
 
+    /**
+     * How long after the deadline a response of unknown length is held that has not gone on since.
+     * Half a second after its deadline a request is lost; the rest is for the loop.
+     */
+    static final long GRACE_NS = 450_000_000L;
+
+    /** Returned by {@link #dueAt} for a response that only silence ends. */
+    static final long NEVER = Long.MAX_VALUE;
+
+    /** The longest pause of a response that has gone on after its deadline. */
+    private static final long MAX_PAUSE_NS = 1_000_000_000L;
+
     /**
      * The longest time for which the bytes of a long response are held back as it may be short.
      * Clients get the rest of a long response within 2 s.
@@ -55,6 +73,11 @@
         lastPieceAt = now;
     }
 
+    /** Returns how many bytes of the body have been received. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
     /** Returns how long the endpoint has sent nothing. */
     long silentNs(long now) {
         return now - lastPieceAt;
@@ -65,25 +88,49 @@
         return Math.max(length, receivedBytes) > MAX_SHORT_BYTES;
     }
 
-    /** Returns whether the body is to be streamed, although it is incomplete. */
-    boolean shouldStream(long now) {
-        boolean heldLong = now - firstPieceAt >= maxBufferedNs;
-        return isLong() || (length < 0 && heldLong && isSteady(now));
+    /** Returns whether the response may last beyond its attempt's timeout. */
+    boolean mayOutlastTimeout() {
+        return length < 0 || isLong();
     }
 
-    /** Returns whether the response may go on after its attempt's timeout. */
-    boolean mayOutlastTimeout(long now) {
-        return receivedBytes > 0 && (isLong() || (length < 0 && isSteady(now)));
+    /**
+     * Returns whether the body is to be streamed, although it is incomplete.
+     *
+     * @param deadline the request's
+     */
+    boolean shouldStream(long now, long deadline) {
+        boolean isDue = now >= deadline;
+        if (isLong()) {
+            return isDue || receivedBytes > 0;
+        }
+        boolean isHeldLong = isDue || now - firstPieceAt >= maxBufferedNs;
+        return length < 0 && isHeldLong && hasPace(now) && silentNs(now) < maxSilenceNs;
     }
 
-    /** Returns how long after {@link #mayOutlastTimeout} it is to be asked again. */
-    long recheckNs() {
-        return maxSilenceNs;
+    /**
+     * Returns until when the response may stay incomplete, as far as is known now: later pieces
+     * move it on. {@link #NEVER} once only silence ends the response.
+     *
+     * @param deadline the request's
+     */
+    long dueAt(long now, long deadline) {
+        if (now < deadline) {
+            return deadline;
+        }
+        if (isLong()) {
+            return NEVER;
+        }
+        if (length >= 0) {
+            return deadline;
+        }
+        long graceEnd = deadline + GRACE_NS;
+        boolean hasGoneOn = lastPieceAt >= deadline && hasPace(now);
+        return hasGoneOn ? Math.max(graceEnd, lastPieceAt + MAX_PAUSE_NS) : graceEnd;
     }
 
-    /** Returns whether the endpoint has kept sending, at the pace of a long response. */
-    private boolean isSteady(long now) {
+    /** Returns whether the endpoint has sent the body at the pace of a long response so far. */
+    boolean hasPace(long now) {
         long dueBytes = (now - firstPieceAt) * MIN_BYTES_PER_SECOND / NS_PER_SECOND;
-        return receivedBytes >= dueBytes && silentNs(now) < maxSilenceNs;
+        return receivedBytes > 0 && receivedBytes >= dueBytes;
     }
 }
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -110,7 +110,7 @@
 
     /**
      * Returns by when the request is answered, as far as it is known now: the client's time counts
-     * from the last byte of its body.
+     * from the last byte of its body, and a response that has begun may be held a little longer.
      */
     private long answerBy() {
         long dueAt = deadline;
@@ -118,6 +118,9 @@
             long dueAfterBody = client.bodySource().lastByteNotBefore() + client.timeLeftNs();
             dueAt = Math.min(deadline, dueAfterBody);
         }
+        if (attemptInFlight != null) {
+            dueAt = Math.max(dueAt, attemptInFlight.responseHeldUntil());
+        }
         return dueAt + dispatcher.responseSlackNs() / 2;
     }
 
@@ -149,6 +152,7 @@
                                 endpointRequest,
                                 timeoutNs == 0 ? timeLeftNs : Math.min(timeoutNs, timeLeftNs),
                                 writeDeadline,
+                                deadline,
                                 new AttemptEvents(endpoint, attempt));
     }
 
@@ -184,6 +188,13 @@
             mayHaveRun = true;
         }
 
+        @Override
+        public void responseBegan(long heldUntil) {
+            driver.deliver(
+                    ActiveRequest.this,
+                    (balancer, now) -> balancer.responseBegan(now, id, attempt, heldUntil));
+        }
+
         @Override
         public ByteSink streamingStarted(
                 EndpointResponse head, long length, LoadReport load, Runnable onCapacity) {
@@ -338,7 +349,7 @@
             return;
         }
         if (dispatcher.now() < answerBy()) {
-            startDeadlineTimer(); // more of a streamed body has arrived since
+            startDeadlineTimer(); // more of the body has arrived since, or a response has begun
         } else {
             deadlineExceeded();
         }
--- a/engine/src/test/java/trailthread/engine/endpoint/LateLoopTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/LateLoopTest.java
@@ -78,6 +78,7 @@
                 new EndpointRequest(id, "use", "POST", "/use", null, new byte[length], null),
                 timeoutNs,
                 writeDeadline,
+                loop.now() + timeoutNs,
                 results::add);
     }
 
--- a/lab/src/main/java/trailthread/lab/baseline/PlainPolicy.java
+++ b/lab/src/main/java/trailthread/lab/baseline/PlainPolicy.java
@@ -253,6 +253,9 @@
         }
     }
 
+    @Override
+    public void responseBegan(long now, long id, int attempt, long heldUntil) {}
+
     @Override
     public void firstByteReceived(long now, long id, int attempt) {}
 
