Serve other sockets between two requests that one client has pipelined

Cause: Undertow queues the next pipelined request as a task of the loop, and XNIO runs all tasks before it polls the sockets, also those that tasks queue. While a client sends as fast as it is served, no other socket has its turn.

Change: where more is pipelined, the end of an exchange, which lets the next begin, waits for the next pass of the loop. It is one place for all responses, whoever makes them: readiness, rejections, refusals, endpoints.

--- a/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
@@ -66,8 +66,16 @@
                 return false; // writing the response will fail, too
             }
         }
+        return !isEmpty(exchange);
+    }
+
+    /** Returns whether no bytes behind the request have been read and kept. */
+    static boolean isEmpty(HttpServerExchange exchange) {
+        if (!(exchange.getConnection() instanceof AbstractServerConnection connection)) {
+            return true;
+        }
         PooledByteBuffer kept = connection.getExtraBytes();
-        return kept != null && kept.getBuffer().hasRemaining();
+        return kept == null || !kept.getBuffer().hasRemaining();
     }
 
     /**
--- a/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/RequestReceiver.java
@@ -80,13 +80,29 @@
         ClientConnection client = ClientConnection.fromExchange(exchange);
         long deadlineWithoutBody = connections.headArrived(client);
         exchange.addExchangeCompleteListener(
-                (completed, next) -> {
-                    connections.responseWritten(client, exchange.isPersistent());
-                    next.proceed();
-                });
+                (completed, next) ->
+                        runInTurn(
+                                completed,
+                                () -> {
+                                    connections.responseWritten(client, exchange.isPersistent());
+                                    next.proceed();
+                                }));
         return deadlineWithoutBody;
     }
 
+    /**
+     * Runs a task after a response, which lets the next request of the connection begin. If that is
+     * pipelined, the sockets that are ready have their turn first: Undertow would serve all that a
+     * client has pipelined before the next poll.
+     */
+    private void runInTurn(HttpServerExchange exchange, Runnable task) {
+        if (PipelinedBytes.isEmpty(exchange)) {
+            task.run();
+        } else {
+            loop.afterSockets(task);
+        }
+    }
+
     /** Whether the connection is closed after this response. */
     private boolean isLastOnConnection(HttpServerExchange exchange) {
         return connections.shouldCloseAfterResponse(ClientConnection.fromExchange(exchange))
