Move a full buffer of pipelined bytes only once half of it has been consumed

While one client pipelined requests at full speed, other clients' answers were late; thread dumps were in PipelinedBytes.keep and ByteBuffer.compact.

Cause: a full buffer of up to 8 MiB was moved to append what one request had left free, some 170 bytes.

Change: the bytes move to the start only if at least as many have been consumed, else the buffer grows or is full.

--- a/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/PipelinedBytes.java
@@ -119,7 +119,7 @@
         if (kept == null) {
             return Integer.MAX_VALUE; // a new pooled buffer holds all that one read returns
         }
-        int free = free(kept);
+        int free = makeRoom(kept.getBuffer());
         if (free > 0) {
             return free;
         }
@@ -128,11 +128,19 @@
             return 0;
         }
         connection.setExtraBytes(larger);
-        return free(larger);
+        return makeRoom(larger.getBuffer());
     }
 
-    private static int free(PooledByteBuffer kept) {
-        return kept.getBuffer().capacity() - kept.getBuffer().remaining();
+    /**
+     * Returns how many bytes can be appended. Moves the bytes to the start of the buffer only if at
+     * least as many have been consumed, so that each byte is moved once at most on average.
+     */
+    static int makeRoom(ByteBuffer bytes) {
+        boolean isFull = bytes.limit() == bytes.capacity();
+        if (isFull && bytes.position() >= bytes.remaining()) {
+            bytes.compact().flip();
+        }
+        return bytes.capacity() - bytes.limit();
     }
 
     /**
@@ -145,10 +153,11 @@
             kept.getBuffer().limit(0);
             connection.setExtraBytes(kept);
         }
-        ByteBuffer bytes = kept.getBuffer();
-        if (bytes.capacity() - bytes.limit() < piece.remaining()) {
-            bytes.compact().flip();
-        }
+        append(kept.getBuffer(), piece);
+    }
+
+    /** Appends a piece for which there is {@linkplain #makeRoom room}. */
+    static void append(ByteBuffer bytes, ByteBuffer piece) {
         int start = bytes.position();
         int end = bytes.limit();
         bytes.limit(end + piece.remaining()).position(end);
