Close a client that has stopped sending its body, however much of it has come

With hundreds of clients that stopped half way through 10 MB, memory and connections were held for them and others were refused; a client that has stopped is to have its error, or a close, within 3 s.

Cause: a body has 1 s for each 48 kB that have come, also without anything further: 104 s after 5 MB.

Evidence: SlowUploadTest#aClientThatStopsWithinALongBodyIsNotWaitedFor, still connected after 5 s before, passes.

Change: BodyReader also ends a body of which nothing has come for 2.6 s. Time in which the node itself has paused reading does not count.

--- a/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/BodyReader.java
@@ -22,8 +22,8 @@
  * <p>If there is no memory to buffer a body, it is streamed: the receiver gets this reader as the
  * source, which is read only as fast as the sink accepts bytes.
  *
- * <p>If the client sends more slowly than {@link #MIN_BYTES_PER_SECOND}, or the connection breaks,
- * the connection is closed.
+ * <p>If the client sends more slowly than {@link #MIN_BYTES_PER_SECOND} or stops, or the connection
+ * breaks, the connection is closed.
  */
 final class BodyReader implements ByteSource {
     /** Gets the body by one of these methods; {@link #aborted} may also follow {@link #stream}. */
@@ -70,6 +70,9 @@
     /** The minimum rate of a body; clients send 64 kB a second or more. */
     private static final long MIN_BYTES_PER_SECOND = 48_000;
 
+    /** A client that sends nothing for this long has stopped; it is closed within 3 s. */
+    private static final long MAX_SILENCE_NS = 2_600_000_000L;
+
     private static final long NS_PER_SECOND = 1_000_000_000L;
 
     /** The longest piece of the bytes received before streaming that a sink is given at once. */
@@ -114,6 +117,9 @@
 
     private ByteSink sink;
 
+    /** When bytes were received last, or reading was resumed. */
+    private long receivedAt;
+
     /** When reading was paused; 0 if it is not paused. */
     private long pausedAt;
 
@@ -146,6 +152,7 @@
                         : null;
         channel = exchange.getRequestChannel();
         lastByteNotBefore = loop.arrivedNotBefore();
+        receivedAt = loop.now();
         deadlineTimer =
                 loop.scheduleAfterReading(deadlineWithoutBody - loop.now(), this::checkDeadline);
     }
@@ -237,6 +244,7 @@
     /** Handles bytes that were read; returns whether to continue reading at once. */
     private boolean handleBytes(ByteBuffer bytes) {
         receivedBytes += bytes.remaining();
+        receivedAt = loop.now();
         if (length() - receivedBytes > MAX_SOCKET_BUFFER_BYTES) {
             lastByteNotBefore = loop.now();
         }
@@ -361,6 +369,7 @@
         if (!done && !stopped && giveReceivedBeforeStream()) {
             deadlineWithoutBody += loop.now() - pausedAt; // the pause is not the client's fault
             pausedAt = 0;
+            receivedAt = loop.now();
             readAvailable();
         }
     }
@@ -413,9 +422,10 @@
         }
     }
 
-    /** Closes the connection if the client has fallen behind the minimum rate. */
+    /** Closes the connection if the client has fallen behind the minimum rate, or has stopped. */
     private void checkDeadline() {
-        long leftNs = deadlineWithoutBody + timeForBytesNs(receivedBytes) - loop.now();
+        long deadline = deadlineWithoutBody + timeForBytesNs(receivedBytes);
+        long leftNs = Math.min(deadline, receivedAt + MAX_SILENCE_NS) - loop.now();
         if (pausedAt > 0) {
             deadlineTimer =
                     loop.scheduleAfterReading(PAUSED_CHECK_INTERVAL_NS, this::checkDeadline);
