Don't count an upload against its endpoint while the endpoint takes it

With many long bodies that clients or servers were slow with, all endpoints counted as failing and other requests were refused with no attempt.

Cause: an attempt whose streamed body was not complete in its time ended as a failed connect, three of which eject an endpoint; and it counted as in flight, then as one presumed lost, though the endpoint can't respond before the body is there.

Change: such an attempt ends as not sent if the socket has accepted all that came, or bytes in the last half second. The balancer is told of a streamed body (bodyStreamed) and no longer counts its attempt as in flight. A line of the log says that there was no memory for a request.

--- a/decisions/src/main/java/trailthread/AttemptRecorder.java
+++ b/decisions/src/main/java/trailthread/AttemptRecorder.java
@@ -36,6 +36,11 @@
         this.limiter = limiter;
     }
 
+    /** Records that the attempt waits for its client, and not for its endpoint. */
+    void recordStreamedBody(Attempt attempt) {
+        inFlight.release(attempt);
+    }
+
     /** Records the first byte of a streamed response. */
     void recordFirstByte(Request request, Attempt attempt, long now) {
         inFlight.release(attempt);
--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -251,6 +251,15 @@
 
     // ---- attempts ----
 
+    @Override
+    public void bodyStreamed(long now, long id, int number) {
+        Request request = requests.get(id);
+        Attempt attempt = request == null ? null : request.inFlightAttempt(number);
+        if (attempt != null) {
+            recorder.recordStreamedBody(attempt);
+        }
+    }
+
     @Override
     public void responseBegan(long now, long id, int number, long heldUntil) {
         Request request = requests.get(id);
--- a/decisions/src/main/java/trailthread/InFlightTracker.java
+++ b/decisions/src/main/java/trailthread/InFlightTracker.java
@@ -123,7 +123,7 @@
 
     /**
      * Stops counting an attempt as in flight: it has ended, is presumed lost, or streams its
-     * response, which delays no later request.
+     * request or response, which delays no later request.
      *
      * @return whether it was counted until now
      */
--- a/decisions/src/main/java/trailthread/api/BalancerEvents.java
+++ b/decisions/src/main/java/trailthread/api/BalancerEvents.java
@@ -29,6 +29,12 @@
             boolean clientRetry,
             long key);
 
+    /**
+     * The body of the request is sent on this attempt as it arrives from the client, so the
+     * endpoint can't respond as fast as usual.
+     */
+    void bodyStreamed(long now, long id, int attempt);
+
     /**
      * A response that may be long has begun on this attempt. The request is not answered otherwise
      * while the attempt is in flight.
--- a/decisions/src/test/java/trailthread/BalancerRulesTest.java
+++ b/decisions/src/test/java/trailthread/BalancerRulesTest.java
@@ -170,6 +170,30 @@
         assertEquals(1, s.sendsOf(id).size());
     }
 
+    @Test
+    void aResponseThatHasBegunMayOutlastTheDeadline() {
+        s.endpoints("a", "b");
+        long id = s.request("unsafe");
+        long heldUntil = s.now + 1450 * MS;
+        s.balancer.responseBegan(s.now, id, 0, heldUntil);
+        s.advance(1440 * MS);
+        assertTrue(s.rejected.isEmpty() && s.failed.isEmpty());
+        s.advance(10 * MS);
+        assertEquals(List.of(id), s.failed);
+        assertEquals(1, s.sendsOf(id).size());
+    }
+
+    @Test
+    void requestsWhoseBodiesAreStreamedDoNotFillAnEndpoint() {
+        s.endpoints("a");
+        for (int i = 0; i < 50; i++) {
+            long upload = s.request("unsafe");
+            s.balancer.bodyStreamed(s.now, upload, 0);
+            assertEquals(1, s.sendsOf(upload).size());
+        }
+        assertEquals(1, s.sendsOf(s.request("unsafe")).size());
+    }
+
     @Test
     void loadReportsThatAreNotFiniteOrNegativeAreIgnored() {
         s.endpoints("a", "b");
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -234,7 +234,7 @@
             return;
         }
         if (response == null || !response.mayOutlastTimeout()) {
-            endAttempt(isRequestSent() ? Outcome.TIMEOUT : outcomeIfNotSent());
+            endAttempt(isRequestSent() ? Outcome.TIMEOUT : outcomeIfNotSentInTime());
             return;
         }
         long continuesUntil = response.continueAfterTimeout();
@@ -284,6 +284,15 @@
         return mayWriteRequest() ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT;
     }
 
+    /** An endpoint that takes a streamed body as fast as it comes is not at fault either. */
+    private Outcome outcomeIfNotSentInTime() {
+        if (connection != null && connection.isTakingStreamedBody()) {
+            failureReason = "had taken what had come of the body";
+            return Outcome.NOT_SENT;
+        }
+        return outcomeIfNotSent();
+    }
+
     @Override
     public void requestSent() {
         sentAt = loop.now(); // the time to send a long body is not part of the endpoint's latency
--- a/engine/src/main/java/trailthread/engine/http/HttpConnection.java
+++ b/engine/src/main/java/trailthread/engine/http/HttpConnection.java
@@ -143,6 +143,11 @@
         return writer.isRequestSent();
     }
 
+    /** Returns whether a streamed body is being sent, and the server has taken it so far. */
+    public boolean isTakingStreamedBody() {
+        return writer.isStreamedBodyTaken();
+    }
+
     /** Reads all bytes that have arrived; the listener is notified before this returns. */
     public void readArrived() {
         read(Integer.MAX_VALUE);
--- a/engine/src/main/java/trailthread/engine/http/RequestWriter.java
+++ b/engine/src/main/java/trailthread/engine/http/RequestWriter.java
@@ -30,6 +30,9 @@
      */
     private static final int MAX_WRITE_BYTES = 64 * 1024;
 
+    /** A socket that has accepted nothing for this long is not read by its server. */
+    private static final long MAX_STALL_NS = 500_000_000L;
+
     private static final Logger LOG = LoggerFactory.getLogger(RequestWriter.class);
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
 
@@ -48,6 +51,9 @@
 
     private boolean closed;
 
+    /** When the socket last accepted bytes. */
+    private long acceptedAt;
+
     RequestWriter(EventLoop loop, ConduitStreamSinkChannel channel, Listener listener) {
         this.loop = loop;
         this.channel = channel;
@@ -118,10 +124,17 @@
                 return false;
             }
             bytes.position(bytes.position() + written);
+            acceptedAt = loop.now();
         }
         return true;
     }
 
+    /** Returns whether a streamed body is being sent, and the socket has accepted it so far. */
+    boolean isStreamedBodyTaken() {
+        return streamedBody != null
+                && (!streamedBody.hasUnwritten() || loop.now() - acceptedAt < MAX_STALL_NS);
+    }
+
     /** Calls {@link #write()} when the socket accepts more bytes. */
     void resumeWrites() {
         channel.resumeWrites();
--- a/engine/src/main/java/trailthread/engine/http/StreamedRequestBody.java
+++ b/engine/src/main/java/trailthread/engine/http/StreamedRequestBody.java
@@ -38,6 +38,11 @@
         return unwritten == null && !writeFailed && (ended || remaining == 0);
     }
 
+    /** Returns whether the socket has yet to accept bytes that have arrived. */
+    boolean hasUnwritten() {
+        return unwritten != null;
+    }
+
     /** Returns whether the source has reported the end of the body. */
     boolean hasEnded() {
         return ended;
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -154,6 +154,9 @@
                                 writeDeadline,
                                 deadline,
                                 new AttemptEvents(endpoint, attempt));
+        if (client.bodySource() != null) {
+            driver.deliver(this, (balancer, at) -> balancer.bodyStreamed(at, id, attempt));
+        }
     }
 
     /** Receives the events of one attempt. */
--- a/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
@@ -204,6 +204,7 @@
 
     @Override
     public Runnable handleUnadmitted(ClientRequest client, long deadline, ClientResponse response) {
+        log.outOfMemory(client);
         driver.deliver((balancer, now) -> balancer.setAdmission(ADMIT_NONE));
         Runnable onDisconnect = handle(client, deadline, response);
         driver.deliver((balancer, now) -> balancer.setAdmission(admission));
--- a/engine/src/main/java/trailthread/engine/request/RequestLog.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestLog.java
@@ -33,6 +33,13 @@
         write(request, "failed", attempts);
     }
 
+    /** Logs that there is no memory for a request, which is rejected. */
+    void outOfMemory(ClientRequest request) {
+        if (log.tryAcquire()) {
+            log.write("no memory for request {} of class {}", request.id(), request.requestClass());
+        }
+    }
+
     private void write(ClientRequest request, String result, int attempts) {
         if (log.tryAcquire()) {
             log.write(
--- a/lab/src/main/java/trailthread/lab/baseline/PlainPolicy.java
+++ b/lab/src/main/java/trailthread/lab/baseline/PlainPolicy.java
@@ -253,6 +253,9 @@
         }
     }
 
+    @Override
+    public void bodyStreamed(long now, long id, int attempt) {}
+
     @Override
     public void responseBegan(long now, long id, int attempt, long heldUntil) {}
 
