Remember the ids of requests that may have run and were not answered

A request that may run only once ran twice: its client left, its server completed it, and the same id came again.

Cause: an id was known only while its request had an attempt in flight.

Ids of requests that were answered may come again, as ClientSideTest has it. The other process of an upgrade does not know them: open.

--- a/daemon/src/main/java/trailthread/daemon/LoopbackWarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/LoopbackWarmUp.java
@@ -241,6 +241,11 @@
         return clientRequests.isOpen(id);
     }
 
+    @Override
+    public boolean isSpent(String id) {
+        return clientRequests.isSpent(id);
+    }
+
     /**
      * Handles a request of a client or of the warm-up. The node receives each warm-up request
      * twice: first as from a client, then, once dispatched, as its endpoint.
--- a/daemon/src/main/java/trailthread/daemon/listener/RequestFrontend.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/RequestFrontend.java
@@ -36,7 +36,10 @@
         /** Used instead of a number of bytes if memory for the body could not be reserved. */
         long NOT_RESERVED = -1;
 
-        /** Whether a request with this id is in flight; a second one must be rejected. */
+        /**
+         * Whether a request with this id is in flight, or must not run again; a second one must be
+         * rejected.
+         */
         boolean isInFlight(String id);
 
         /**
--- a/daemon/src/main/java/trailthread/daemon/listener/UnboundedHandler.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/UnboundedHandler.java
@@ -16,7 +16,7 @@
 
     @Override
     public boolean isInFlight(String id) {
-        return handler.isOpen(id);
+        return handler.isOpen(id) || handler.isSpent(id);
     }
 
     @Override
--- a/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
+++ b/engine/src/main/java/trailthread/engine/request/ActiveRequest.java
@@ -49,6 +49,9 @@
     /** The response has been started, or the client has disconnected: no response may follow. */
     private boolean finished;
 
+    /** The client was sent the whole response of an endpoint. */
+    private boolean served;
+
     /** The response is being streamed to the client, while the attempt is still in flight. */
     private boolean streaming;
 
@@ -259,6 +262,7 @@
     private void handleAttemptEnd(String endpoint, int attempt, AttemptResult result) {
         boolean succeeded = result.outcome() == Outcome.OK;
         metrics.attemptEnded(endpoint, result.outcome(), result.latencyNs(), result.load());
+        served = succeeded && (streaming || !finished);
         if (streaming) {
             recordResult(succeeded ? RequestResult.SERVED : RequestResult.FAILED);
         }
@@ -381,8 +385,20 @@
         deadlineTimer.remove();
     }
 
+    /**
+     * Returns whether the request may have run, its client has no response of an endpoint, and the
+     * platform's protocol lets it run only once.
+     */
+    private boolean isSpent() {
+        boolean runsOnce = client.forwardedHeaders() == null && !client.method().equals("GET");
+        return runsOnce && mayHaveRun && !served;
+    }
+
     private void releaseIfDone() {
         if (finished && attemptInFlight == null) {
+            if (isSpent()) {
+                dispatcher.addSpentId(client.id());
+            }
             dispatcher.release(this, id, client.id());
         }
     }
--- a/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestDispatcher.java
@@ -32,6 +32,7 @@
     private final BalancerActionExecutor actions;
     private final Balancer balancer;
     private final ActiveRequests requests = new ActiveRequests();
+    private final SpentRequestIds spentIds;
     private final RequestLog log;
     private long lastId;
 
@@ -67,6 +68,7 @@
         this.loop = loop;
         this.endpoints = endpoints;
         log = new RequestLog(loop);
+        spentIds = new SpentRequestIds(loop.now());
         driver = new BalancerDriver(loop::now);
         actions = new BalancerActionExecutor(loop, endpoints, metrics, driver, requests);
         applyTimeouts(settings);
@@ -216,6 +218,16 @@
         return requests.hasCorrelationId(correlationId);
     }
 
+    @Override
+    public boolean isSpent(String correlationId) {
+        return spentIds.contains(correlationId);
+    }
+
+    /** Remembers that a request may have run that must not run again. */
+    void addSpentId(String correlationId) {
+        spentIds.add(correlationId, now());
+    }
+
     /** Releases a finished request without an attempt in flight; a second call does nothing. */
     void release(ActiveRequest request, long id, String correlationId) {
         if (requests.remove(id, correlationId, request)) {
--- a/engine/src/main/java/trailthread/engine/request/RequestHandler.java
+++ b/engine/src/main/java/trailthread/engine/request/RequestHandler.java
@@ -29,4 +29,12 @@
      * must not be handled while the first one is open.
      */
     boolean isOpen(String correlationId);
+
+    /**
+     * Returns whether a request with this correlation id may have run and must not run again, as it
+     * failed or its client has disconnected.
+     */
+    default boolean isSpent(String correlationId) {
+        return false;
+    }
 }
