--- a/decisions/src/main/java/trailthread/Balancer.java
+++ b/decisions/src/main/java/trailthread/Balancer.java
@@ -1,8 +1,6 @@
 package trailthread;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import trailthread.api.Admission;
 import trailthread.api.BalancerActions;
 import trailthread.api.BalancerEvents;
@@ -44,7 +42,7 @@
     private final RetryPolicy retries;
     private final FinalResponder responder;
     private final RequestQueue queue;
-    private final Map<Long, Request> requests = new HashMap<>();
+    private final OpenRequests requests = new OpenRequests();
 
     /**
      * Creates a balancer without endpoints; {@link BalancerEvents#updateEndpointList} adds them.
@@ -163,7 +161,7 @@
                         now,
                         deadline,
                         s.maxAttempts);
-        requests.put(id, request);
+        requests.add(request);
         retryBudget.deposit();
         means.recordWork(workNs);
         endpoints.refreshSubset(now);
@@ -186,7 +184,7 @@
         Request request = requests.get(id);
         if (request != null) {
             request.finished = true;
-            removeIfComplete(request);
+            requests.removeIfComplete(request);
         }
     }
 
@@ -240,32 +238,19 @@
 
     private void rejectOrFail(Request request) {
         responder.rejectOrFail(request);
-        removeIfComplete(request);
-    }
-
-    private void removeIfComplete(Request request) {
-        if (request.finished && request.inFlight() == 0) {
-            requests.remove(request.id);
-        }
+        requests.removeIfComplete(request);
     }
 
     // ---- attempts ----
 
     @Override
     public void bodyStreamed(long now, long id, int number) {
-        Request request = requests.get(id);
-        Attempt attempt = request == null ? null : request.inFlightAttempt(number);
-        if (attempt != null) {
-            recorder.recordStreamedBody(attempt);
-        }
+        requests.attemptInFlight(id, number).ifPresent(recorder::recordStreamedBody);
     }
 
     @Override
     public void responseBegan(long now, long id, int number, long heldUntil) {
-        Request request = requests.get(id);
-        if (request != null && request.inFlightAttempt(number) != null) {
-            request.responseHeldUntil = heldUntil;
-        }
+        requests.holdUntil(id, number, heldUntil);
     }
 
     @Override
@@ -301,7 +286,7 @@
         if (!request.finished && !request.streaming && request.inFlight() == 0) {
             retry(request, now);
         }
-        removeIfComplete(request);
+        requests.removeIfComplete(request);
         queue.release(now);
     }
 
