Don't send a keyed request again to an endpoint whose connection broke under it

A keyed request ran at two places: its server's process ended with the request in hand, a new process in another cell came up at the address, and the list told of it 0.1 s later.

Cause: an endpoint always shared the deduplication window with itself, by its id in the list, whoever is at its address.

RequestTest#aKeyedRequestIsNotSentAgainToAnEndpointWhoseConnectionBroke fails without it.

Change: after a reset the endpoint is excluded for that request, where the scope is a cell or zone; others that share the window may still be sent to. RequestTest stated that a reset leaves the endpoint eligible: it now states that for an error, which comes over a connection that is whole, and the opposite for a reset. What it costs in service is not measured.

--- a/decisions/src/main/java/trailthread/Request.java
+++ b/decisions/src/main/java/trailthread/Request.java
@@ -168,11 +168,28 @@
         DeduplicationScope scope = requestClass.rules.deduplicationScope();
         return switch (scope) {
             case ALL -> true;
-            case ZONE -> first.zone().equals(other.zone());
-            case CELL -> first == other || (first.cell() >= 0 && first.cell() == other.cell());
+            case ZONE -> first.zone().equals(other.zone()) && !mayHaveRestarted(other);
+            case CELL -> isInSameCell(first, other) && !mayHaveRestarted(other);
         };
     }
 
+    private static boolean isInSameCell(Endpoint first, Endpoint other) {
+        return first == other || (first.cell() >= 0 && first.cell() == other.cell());
+    }
+
+    /**
+     * Whether the connection of an attempt at the endpoint broke. Its process may have ended, and
+     * another one, in another zone or cell, may have its address before the list tells.
+     */
+    private boolean mayHaveRestarted(Endpoint endpoint) {
+        for (int i = 0; i < attemptsSent; i++) {
+            if (attempts[i].endpoint == endpoint && attempts[i].outcome == Outcome.RESET) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean wasSentTo(Endpoint endpoint) {
         for (int i = 0; i < attemptsSent; i++) {
             if (attempts[i].endpoint == endpoint) {
--- a/decisions/src/test/java/trailthread/RequestTest.java
+++ b/decisions/src/test/java/trailthread/RequestTest.java
@@ -62,11 +62,26 @@
         Request request = modules.request("keyed");
         modules.attempt(request, otherCell, Outcome.REJECTED, NOW);
         assertTrue(request.isDeduplicatedAt(a) && request.isDeduplicatedAt(otherCell));
-        modules.attempt(request, a, Outcome.RESET, NOW);
+        modules.attempt(request, a, Outcome.ERROR, NOW);
         assertTrue(request.isDeduplicatedAt(a) && request.isDeduplicatedAt(sameCell));
         assertFalse(request.isDeduplicatedAt(otherCell));
     }
 
+    /** Guards against a new process, in another cell, at the address of one that has ended. */
+    @Test
+    void aKeyedRequestIsNotSentAgainToAnEndpointWhoseConnectionBroke() {
+        Endpoint sameCell = WiredModules.endpoint("b", 1);
+        Endpoint otherCell = WiredModules.endpoint("c", 2);
+        Request request = modules.request("keyed");
+        modules.attempt(request, a, Outcome.RESET, NOW);
+        assertFalse(request.isDeduplicatedAt(a));
+        assertTrue(request.isDeduplicatedAt(sameCell));
+        assertFalse(request.isDeduplicatedAt(otherCell));
+        modules.attempt(request, sameCell, Outcome.TIMEOUT, NOW);
+        assertTrue(request.isDeduplicatedAt(sameCell));
+        assertFalse(request.isDeduplicatedAt(a));
+    }
+
     @Test
     void endpointsWithoutACellShareNoDeduplicationWindow() {
         Endpoint first = WiredModules.endpoint("d", -1);
