Send a long response's head by its deadline, and end one of which nothing more comes

A client whose server sent the head of a long response in time, and its body late, had no byte by its deadline; if the body never came, the client waited for ever.

Undertow writes a head with the first piece of the body; and until a first piece was written, the silence counted as the client's.

--- a/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
@@ -107,6 +107,15 @@
         return true;
     }
 
+    @Override
+    public void flushHead() {
+        try {
+            channel.flush();
+        } catch (IOException e) {
+            handleDisconnect();
+        }
+    }
+
     /** Writes as much as the client accepts; returns whether that was all. */
     private boolean write(ByteBuffer bytes) throws IOException {
         while (bytes.hasRemaining()) {
--- a/daemon/src/test/java/trailthread/daemon/SlowLongResponseTest.java
+++ b/daemon/src/test/java/trailthread/daemon/SlowLongResponseTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
 import trailthread.testkit.Message;
 import trailthread.testkit.ScriptedServer;
@@ -120,4 +121,42 @@
     public void aLongResponseThatPausesAcrossTheDeadlineIsNotCutOff() throws Exception {
         checkWhole(LONG_PAUSES);
     }
+
+    /** Guards against a head that is held until the body comes, after its time. */
+    @Test
+    public void theHeadOfALongResponseIsPassedOnBeforeItsBody() throws Exception {
+        CountDownLatch headReceived = new CountDownLatch(1);
+        ScriptedServer endpoint =
+                cluster.closeAtEnd(
+                        new ScriptedServer(
+                                request -> {
+                                    Message.send(
+                                            request.connection(), head(Framing.LENGTH, 100_000));
+                                    ScriptedServer.await(headReceived);
+                                    Message.send(request.connection(), "x".repeat(100_000));
+                                }));
+        cluster.start(TestCluster.SETTINGS, endpoint);
+        Socket client = cluster.connect();
+        Message.send(client, TestCluster.requestText("use", "", "").replace("20.000", "0.5"));
+        assertEquals('H', client.getInputStream().read());
+        headReceived.countDown();
+        Message response = Message.read(client);
+        assertEquals("TTP/1.1 200 OK", response.startLine());
+        assertEquals(100_000, response.body().length());
+    }
+
+    /** Guards against holding a client for ever whose server sends a head and nothing more. */
+    @Test
+    public void aLongResponseOfWhichOnlyTheHeadComesIsEnded() throws Exception {
+        ScriptedServer endpoint =
+                cluster.closeAtEnd(
+                        new ScriptedServer(
+                                request ->
+                                        Message.send(
+                                                request.connection(),
+                                                head(Framing.LENGTH, 100_000))));
+        cluster.start(TestCluster.SETTINGS, endpoint);
+        String received = receive("use", "0.5");
+        assertEquals("cut off: the connection ended within the body", received);
+    }
 }
--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptResponse.java
@@ -207,6 +207,7 @@
             attempt.endAttempt(Outcome.CANCELLED);
             return false;
         }
+        sinkHasCapacity = true;
         attempt.streamingStarted();
         silenceTimer = loop.schedule(MAX_SILENCE_NS, this::resetIfSilent);
         if (bufferedBytes > 0) {
@@ -214,6 +215,8 @@
             bufferedBytes = 0;
             streamPiece(buffered);
             releaseBuffer();
+        } else {
+            sink.flushHead();
         }
         return !attempt.hasEnded();
     }
--- a/engine/src/main/java/trailthread/engine/http/ByteSink.java
+++ b/engine/src/main/java/trailthread/engine/http/ByteSink.java
@@ -13,6 +13,9 @@
      */
     boolean writePiece(ByteBuffer piece);
 
+    /** Sends the head on, if this sink writes one, before the first piece of the body is there. */
+    default void flushHead() {}
+
     /** Ends the body, which is complete. */
     void endBody();
 
