--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.File;
 import java.io.IOException;
@@ -28,6 +29,7 @@
     static final int BROKEN = 1;
     static final int COULD_NOT_RUN = 2;
 
+    private static final int MAX_LOG = 2_000_000;
     private static final long START = System.nanoTime();
     private static PrintWriter record;
     private static final List<Process> processes = new ArrayList<>();
@@ -168,16 +170,28 @@
         }
 
         String log() {
-            try {
-                return Files.readString(log);
+            StringBuilder text = new StringBuilder();
+            try (BufferedReader in = Files.newBufferedReader(log)) {
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    if (text.length() < MAX_LOG) {
+                        text.append(line).append('\n');
+                    }
+                }
             } catch (IOException e) {
-                return "";
+                text.append(e);
             }
+            return text.toString();
         }
 
+        /** Records the first lines, and the first exception. */
         void recordLog() {
+            int lines = 0;
+            int ofException = 0;
             for (String line : log().split("\n")) {
-                note("node's log: " + line);
+                boolean isException = line.contains("xception") || line.startsWith("\tat ");
+                if (isException ? ofException++ < 8 : lines++ < 25) {
+                    note("node's log: " + line);
+                }
             }
         }
     }
