--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -144,7 +144,7 @@
 
         void signal(String name) throws Exception {
             note("platform: SIG" + name + " to the node");
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
                     .inheritIO()
                     .start()
                     .waitFor();
