Don't cut off clients that read a long response in pieces

Cause: the node took the next writable event of its own socket for a sign of the client. The system reports a socket as writable once a third of its send buffer is free, and that buffer grows to megabytes.

Change: ResponseReadTimeout owns the rule for streamed and buffered responses. While bytes wait for the client, it offers them to the socket each second; what the socket accepts shows that the client has read. 32 s without a byte end the response: a segment of 64 KiB, the step in which TCP opens a closed window on loopback, at 2 KiB a second. A client that reads nothing is still closed. The log says so when it happens.

--- a/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/HttpResponseWriter.java
@@ -26,9 +26,6 @@
     /** Headers of endpoints' responses that only the balancer uses. */
     private static final Set<String> NOT_FORWARDED = Set.of("x-backend-load", "x-unprocessed");
 
-    /** If a client does not read its response within this time, its connection is closed. */
-    private static final long READ_TIMEOUT_NS = 10_000_000_000L;
-
     private static final byte[] NO_BODY = new byte[0];
 
     private final EventLoop loop;
@@ -185,7 +182,7 @@
             exchange.getResponseSender().send(ByteBuffer.wrap(body));
         }
         if (!exchange.isResponseComplete()) {
-            loop.scheduleAfterReading(READ_TIMEOUT_NS, this::closeIfUnread);
+            new ResponseReadTimeout(loop, new UnreadResponse());
         }
     }
 
@@ -202,8 +199,30 @@
         response.endBody();
     }
 
-    private void closeIfUnread() {
-        if (!exchange.isResponseComplete()) {
+    /** A response that Undertow writes as the client reads it, behind earlier responses. */
+    private final class UnreadResponse implements ResponseReadTimeout.PendingResponse {
+        @Override
+        public boolean hasEnded() {
+            return exchange.isResponseComplete() || !connection().isOpen();
+        }
+
+        @Override
+        public boolean hasUnwritten() {
+            return true;
+        }
+
+        @Override
+        public long writtenBytes() {
+            return exchange.getResponseBytesSent();
+        }
+
+        @Override
+        public void offerUnwritten() {
+            connection().getChannel().getSinkChannel().wakeupWrites();
+        }
+
+        @Override
+        public void readTimedOut() {
             IoUtils.safeClose(exchange.getConnection());
         }
     }
--- a/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/StreamedResponse.java
@@ -10,7 +10,6 @@
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import trailthread.engine.http.ByteSink;
 import trailthread.engine.loop.EventLoop;
@@ -24,13 +23,9 @@
  * frame it, as for a client of HTTP/1.0, the connection is set to end in a reset until the last
  * byte is passed on, whatever closes it: this class, another one, or the end of the process.
  */
-final class StreamedResponse implements ByteSink {
+final class StreamedResponse implements ByteSink, ResponseReadTimeout.PendingResponse {
     private static final Logger LOG = LoggerFactory.getLogger(StreamedResponse.class);
-
-    /** If a client accepts nothing for this time, its connection is closed. */
-    private static final long WRITE_TIMEOUT_NS = 10_000_000_000L;
-
-    private static final long NOT_WAITING = -1;
+    private static final long NS_PER_SECOND = 1_000_000_000L;
 
     private final EventLoop loop;
     private final HttpServerExchange exchange;
@@ -51,15 +46,9 @@
     /** The response is complete or was aborted. */
     private boolean closed;
 
-    private XnioExecutor.Key timeoutTimer;
+    private final ResponseReadTimeout readTimeout;
     private long writtenBytes;
 
-    /**
-     * {@link #writtenBytes} at the last check for a timeout; {@link #NOT_WAITING} if the client had
-     * nothing to accept then.
-     */
-    private long writtenBytesAtCheck = NOT_WAITING;
-
     /**
      * Starts to stream the body of a response whose status and headers have been set.
      *
@@ -84,7 +73,7 @@
         setCloseByReset(true);
         channel = exchange.getResponseChannel();
         channel.getWriteSetter().set(writable -> writeUnwritten());
-        timeoutTimer = loop.schedule(WRITE_TIMEOUT_NS, this::checkTimeout);
+        readTimeout = new ResponseReadTimeout(loop, this);
     }
 
     @Override
@@ -227,19 +216,36 @@
 
     private void close() {
         closed = true;
-        timeoutTimer.remove(); // a pending timer would keep the exchange in memory
+        readTimeout.cancel();
     }
 
-    private void checkTimeout() {
-        if (closed) {
-            return;
-        }
-        boolean waiting = unwritten != null || endReached;
-        if (waiting && writtenBytes == writtenBytesAtCheck) {
-            handleDisconnect();
-            return;
-        }
-        writtenBytesAtCheck = waiting ? writtenBytes : NOT_WAITING;
-        timeoutTimer = loop.schedule(WRITE_TIMEOUT_NS, this::checkTimeout);
+    @Override
+    public boolean hasEnded() {
+        return closed;
+    }
+
+    @Override
+    public boolean hasUnwritten() {
+        return unwritten != null || endReached;
+    }
+
+    @Override
+    public long writtenBytes() {
+        return writtenBytes;
+    }
+
+    @Override
+    public void offerUnwritten() {
+        writeUnwritten();
+    }
+
+    @Override
+    public void readTimedOut() {
+        LOG.info(
+                "a client's connection is closed: it has read nothing for {} s, after {} bytes of"
+                        + " a response",
+                ResponseReadTimeout.TIMEOUT_NS / NS_PER_SECOND,
+                writtenBytes);
+        handleDisconnect();
     }
 }
