Don't renew the list's lease by calls that waited at a crowded discovery

Cause: a call that waited and ended in 503 or in a reset renewed the lease of the list, as if it proved that discovery could not be reached. Only the first such call after a start was excepted, and a call counted as one that waited from 1.2 s on.

Change: ListLease takes a failed call for proof only if no connection came up, or if it failed within 0.1 s of being sent, so that it had no time to wait. All other calls renew nothing, at a start and later. The pace of calls is as before (its bound of 1.2 s moves to ListPollSchedule).

--- a/decisions/src/main/java/trailthread/ListLease.java
+++ b/decisions/src/main/java/trailthread/ListLease.java
@@ -5,9 +5,10 @@
  *
  * <p>A node counts as notified of a change {@link #NOTIFICATION_DUE_NS} after discovery had it,
  * whether or not the update arrived, unless discovery could not be reached. So the lease is renewed
- * by each message on a watch, and by proof that discovery cannot be reached. It lasts for that time
- * plus the grace of draining endpoints. A process that has just started holds no lease, as the age
- * of its first list is not known.
+ * by each message on a watch, and by proof that discovery cannot be reached. A poll that discovery
+ * took and kept waiting is no such proof, however it ends: discovery may be up and crowded. The
+ * lease lasts for that time plus the grace of draining endpoints. A process that has just started
+ * holds no lease, as the age of its first list is not known.
  *
  * <p>No I/O and no clock of its own: times are passed in, in ns of one monotonic clock, which may
  * start anywhere.
@@ -23,10 +24,10 @@
     public static final long MAX_WRITE_DELAY_NS = 150_000_000L;
 
     /**
-     * A poll of discovery that fails sooner than this did not wait in a queue: discovery is down,
-     * or cannot be reached; ns.
+     * A poll that fails sooner than this after it was sent did not wait in a queue: discovery is
+     * down, or cannot be reached; ns.
      */
-    public static final long QUEUED_POLL_NS = 1_200_000_000L;
+    public static final long QUEUED_POLL_NS = 100_000_000L;
 
     /**
      * Where agents push the list, a node counts as notified by another agent this time after the
@@ -44,9 +45,6 @@
 
     private long renewedAt;
 
-    /** Whether a poll that may have been queued has failed since the start. */
-    private boolean queuedPollFailed;
-
     /** Whether another discovery has become the source since the lease was renewed. */
     private boolean sourceSwitched;
 
@@ -93,21 +91,19 @@
 
     /**
      * Records that a poll of discovery was refused, or that its connection broke before there was a
-     * response. Changes made while discovery cannot be reached are notified after its return, so
-     * this renews the lease.
+     * response. If discovery had no time to queue the poll, it cannot be reached. Changes made
+     * meanwhile are notified after its return, so this renews the lease.
      *
-     * <p>The exception: the first poll after the start that waited and failed may have been queued
-     * behind those of a fleet that has just started, so it does not prove that discovery cannot be
-     * reached. The polls of a running fleet are spread and meet no queue.
+     * <p>A poll that waited renews nothing. It may have waited behind those of other nodes, to
+     * which discovery announces changes.
      *
      * @param waitedSince since when the poll may have been queued at discovery
      */
     public void recordPollFailure(long waitedSince, long now) {
-        boolean queued = now - waitedSince >= QUEUED_POLL_NS;
-        if (pushed || renewed || !queued || queuedPollFailed) {
+        boolean mayHaveBeenQueued = now - waitedSince >= QUEUED_POLL_NS;
+        if (pushed || !mayHaveBeenQueued) {
             renew(now);
         }
-        queuedPollFailed |= queued;
     }
 
     /** Whether requests may be sent by the list. */
--- a/decisions/src/main/java/trailthread/ListPollSchedule.java
+++ b/decisions/src/main/java/trailthread/ListPollSchedule.java
@@ -38,6 +38,9 @@
      */
     private static final double MAX_FIRST_POLL_NS = 4.4e9;
 
+    /** A poll that fails later than this after it was sent counts as queued, in nanoseconds. */
+    private static final double QUEUED_POLL_NS = 1.2e9;
+
     /** A poll that has no result yet is repeated after this share of the poll interval. */
     private static final double REPEAT_SHARE = 0.25;
 
@@ -65,7 +68,7 @@
     void pollOrWatchFailed(long now) {
         double waitedNs = pollSentAt == Long.MAX_VALUE ? 0 : now - pollSentAt;
         pollSentAt = Long.MAX_VALUE;
-        boolean wasQueued = waitedNs > ListLease.QUEUED_POLL_NS;
+        boolean wasQueued = waitedNs > QUEUED_POLL_NS;
         if (wasQueued && failedQueuedPolls > 0) {
             schedulePoll((0.5 + random.uniform()) * backoffNs());
         } else {
