Serve requests that are worth nothing, and always draw an open endpoint

Where all classes had gain 0, the process never became ready.

Cause: the request's share of all priority weight was 0 / 0. The mean objective kept the NaN, and with it each endpoint's limit and tickets; the lottery had no winner and read index -1.

Change: the part of a whole that is 0 is 0 (PriorityPolicy). Where tickets give no finite sum above 0, the lottery draws evenly among the open endpoints. Weights that are not finite are rejected with the settings.

--- a/daemon/src/test/java/trailthread/daemon/SettingsReloadTest.java
+++ b/daemon/src/test/java/trailthread/daemon/SettingsReloadTest.java
@@ -126,4 +126,18 @@
         cluster.awaitMetricLine("app_conf_loaded 1");
         assertEquals("made", cluster.sendRequest("study").body());
     }
+
+    /**
+     * Guards against a node that is never ready, or fails all, as its classes are worth nothing.
+     */
+    @Test
+    public void classesThatAreAllWorthNothingAreServed() throws Exception {
+        ScriptedServer endpoint = cluster.closeAtEnd(ScriptedServer.respondingWith("made"));
+        String settings = TestCluster.SETTINGS.replace("\"aim_ns\"", "\"gain\":0.0,\"aim_ns\"");
+        cluster.start(settings, endpoint);
+        assertEquals("made", cluster.sendRequest("state").body());
+        cluster.reload(cluster.config(settings, endpoint));
+        cluster.awaitLogLine("configuration applied");
+        assertEquals("made", cluster.sendRequest("use").body());
+    }
 }
--- a/decisions/src/main/java/trailthread/Candidates.java
+++ b/decisions/src/main/java/trailthread/Candidates.java
@@ -8,6 +8,10 @@
  */
 final class Candidates {
     private static final double CLOSED = Double.MAX_VALUE;
+
+    /** The longest time that can be predicted for an open endpoint. */
+    private static final double MAX_OPEN_NS = Double.MAX_VALUE / 4;
+
     private static final int INITIAL_SIZE = 16;
 
     private double[] predictedNs = new double[INITIAL_SIZE];
@@ -22,9 +26,15 @@
         bestNs = CLOSED;
     }
 
+    /**
+     * Marks an endpoint as open.
+     *
+     * @param endpointPredictedNs the predicted time; one that is not a number counts as the longest
+     */
     void open(int index, double endpointPredictedNs) {
-        predictedNs[index] = endpointPredictedNs;
-        bestNs = Math.min(bestNs, endpointPredictedNs);
+        boolean isUsable = endpointPredictedNs <= MAX_OPEN_NS;
+        predictedNs[index] = isUsable ? endpointPredictedNs : MAX_OPEN_NS;
+        bestNs = Math.min(bestNs, predictedNs[index]);
     }
 
     boolean isOpen(int index) {
--- a/decisions/src/main/java/trailthread/DecayingCounter.java
+++ b/decisions/src/main/java/trailthread/DecayingCounter.java
@@ -2,7 +2,8 @@
 
 /**
  * A count with exponential decay, about that of the last span: {@code count(t) = sum of amount *
- * e^-((t - at) / span)}. Reads no clock: the time is passed in and must not decrease.
+ * e^-((t - at) / span)}, at most the largest double. Reads no clock: the time is passed in and must
+ * not decrease.
  */
 final class DecayingCounter {
     private final double spanNs;
@@ -25,7 +26,6 @@
     }
 
     void add(long now, double amount) {
-        value(now);
-        count += amount;
+        count = Math.min(value(now) + amount, Double.MAX_VALUE);
     }
 }
--- a/decisions/src/main/java/trailthread/Lottery.java
+++ b/decisions/src/main/java/trailthread/Lottery.java
@@ -11,7 +11,8 @@
  * each node always sent to the best endpoint, all nodes would send to the same one. Tickets are
  * also in proportion to the capacity of an endpoint in slow start, to the square of an endpoint's
  * success rate (an endpoint that fails responds fast and has a short queue), and to its capacity
- * where that is below one attempt.
+ * where that is below one attempt. If these factors leave no endpoint a ticket, or give no finite
+ * number, the draw is even among the open endpoints.
  */
 final class Lottery {
     /**
@@ -43,7 +44,7 @@
     }
 
     /**
-     * Draws one of the open candidates.
+     * Draws one of the open candidates, of which there must be at least one.
      *
      * @param home the index of the only endpoint to hold tickets, or {@link KeyAffinity#NONE}
      */
@@ -54,7 +55,10 @@
         double total =
                 home == KeyAffinity.NONE
                         ? issueToNearBest(endpoints, candidates, now)
-                        : issueToHome(endpoints, candidates, home, now);
+                        : issueToHome(endpoints, home);
+        if (!isPositive(total)) {
+            total = issueEvenly(endpoints, candidates);
+        }
         double remaining = random.uniform() * total;
         int winner = -1;
         for (int i = 0; i < endpoints.size() && remaining >= 0; i++) {
@@ -82,11 +86,24 @@
         return total;
     }
 
-    private double issueToHome(
-            List<Endpoint> endpoints, Candidates candidates, int home, long now) {
+    private double issueToHome(List<Endpoint> endpoints, int home) {
         Arrays.fill(tickets, 0, endpoints.size(), 0);
-        tickets[home] = tickets(endpoints.get(home), candidates.predictedNs(home), now);
-        return tickets[home];
+        tickets[home] = 1;
+        return 1;
+    }
+
+    private double issueEvenly(List<Endpoint> endpoints, Candidates candidates) {
+        double total = 0;
+        for (int i = 0; i < endpoints.size(); i++) {
+            tickets[i] = candidates.isOpen(i) ? 1 : 0;
+            total += tickets[i];
+        }
+        return total;
+    }
+
+    /** Whether a number is above 0 and finite; false if it is not a number. */
+    private static boolean isPositive(double number) {
+        return number > 0 && number < Double.POSITIVE_INFINITY;
     }
 
     private double tickets(Endpoint endpoint, double predictedNs, long now) {
--- a/decisions/src/main/java/trailthread/PriorityPolicy.java
+++ b/decisions/src/main/java/trailthread/PriorityPolicy.java
@@ -32,13 +32,17 @@
         Settings s = settings.get();
         RequestClass rules = request.requestClass.rules;
         double work = s.weightByWork ? means.relativeWork(request.workNs) : 1;
-        request.weight = rules.priorityWeight() * work;
+        request.weight = Math.min(rules.priorityWeight() * work, Double.MAX_VALUE);
         chargeTenant(request, now);
-        double earlierWeight = requested.value(now);
-        means.recordObjective(
-                rules.latencyObjectiveNs(), request.weight / (earlierWeight + request.weight));
         request.requestClass.requested.add(now, request.weight);
         requested.add(now, request.weight);
+        means.recordObjective(
+                rules.latencyObjectiveNs(), shareOf(request.weight, requested.value(now)));
+    }
+
+    /** A part of a whole; 0 if the whole is 0, as while all requests are worth nothing. */
+    private static double shareOf(double part, double whole) {
+        return whole > 0 ? part / whole : 0;
     }
 
     private void chargeTenant(Request request, long now) {
@@ -82,6 +86,15 @@
         return request.weight * (lateShare + (1 - lateShare) * probability) / relativeWork(request);
     }
 
+    /**
+     * What serving the request is expected to add to the goal per unit of work; 0 for a request
+     * that is worth nothing, however much a unit of weight would add.
+     */
+    double valuePerWork(Request request, MarginalGain gain, long now) {
+        double weight = weightPerWork(request, now);
+        return weight > 0 ? gain.gainFor(request.requestClass, request.tenant) * weight : 0;
+    }
+
     private double relativeWork(Request request) {
         if (means.canCompare(request.workNs)) {
             return means.relativeWork(request.workNs);
@@ -93,7 +106,7 @@
     /** What one more unit of served weight adds to the goal at present. */
     MarginalGain marginalGain(long now) {
         Settings s = settings.get();
-        double base = (s.goalOverall + s.goalWorstWindow) / requested.value(now);
+        double base = shareOf(s.goalOverall + s.goalWorstWindow, requested.value(now));
         RequestClassStats worstClass = fairShare.worstClass(now);
         TenantStats worstTenant = fairShare.worstTenant(now);
         double classGain =
--- a/decisions/src/main/java/trailthread/Request.java
+++ b/decisions/src/main/java/trailthread/Request.java
@@ -69,9 +69,9 @@
         this.arrivedAt = now;
         this.deadline = deadline;
         RequestClass rules = requestClass.rules;
-        long objectiveNs =
-                rules.latencyObjectiveNs() + (long) (rules.objectiveWorkMultiple() * workNs);
-        objectiveAt = Math.min(deadline, now + objectiveNs);
+        // In floating point, as the sum may exceed the range of long.
+        double objectiveNs = rules.latencyObjectiveNs() + rules.objectiveWorkMultiple() * workNs;
+        objectiveAt = objectiveNs < deadline - now ? now + (long) objectiveNs : deadline;
         attempts = new Attempt[maxAttempts];
     }
 
--- a/decisions/src/main/java/trailthread/RequestQueue.java
+++ b/decisions/src/main/java/trailthread/RequestQueue.java
@@ -166,9 +166,7 @@
             if (lane.requests.isEmpty() || blocked.contains(lane)) {
                 continue;
             }
-            double value =
-                    gain.gainFor(lane.requestClass, lane.tenant)
-                            * priorities.weightPerWork(lane.requests.peekLast(), now);
+            double value = priorities.valuePerWork(lane.requests.peekLast(), gain, now);
             if (value > bestValue) {
                 bestValue = value;
                 best = lane;
--- a/decisions/src/main/java/trailthread/WorkloadMeans.java
+++ b/decisions/src/main/java/trailthread/WorkloadMeans.java
@@ -69,8 +69,8 @@
         return latencyNs;
     }
 
-    /** The mean latency objective, weighted by priority weight. */
+    /** The mean latency objective, weighted by priority weight; at least 1 ns. */
     double objectiveNs() {
-        return objectiveNs;
+        return Math.max(1, objectiveNs);
     }
 }
--- a/decisions/src/main/java/trailthread/api/Settings.java
+++ b/decisions/src/main/java/trailthread/api/Settings.java
@@ -129,8 +129,8 @@
             require(c.deadlineNs() > 0, at + "deadlineNs is not above 0");
             require(c.deduplicationWindowNs() >= 0, at + "windowNs is negative");
             require(
-                    c.priorityWeight() >= 0 && c.lateWeightShare() >= 0,
-                    at + "worth or lateWorth is negative");
+                    isWeight(c.priorityWeight()) && isWeight(c.lateWeightShare()),
+                    at + "worth or lateWorth is negative or not finite");
         }
         require(tickNs >= 0, "tickNs: negative");
         require(nodes >= 1, "nodes: below 1");
@@ -145,6 +145,10 @@
         require(overloadMultiple > 0, "fallMultiple: not above 0");
     }
 
+    private static boolean isWeight(double number) {
+        return number >= 0 && number < Double.POSITIVE_INFINITY;
+    }
+
     static void require(boolean condition, String message) {
         if (!condition) {
             throw new IllegalArgumentException(message);
