Let long responses end before the process does after SIGTERM

Cause: the process ended by a clock of its own, counted from SIGTERM.

Change: GracefulShutdown waits until all connections are closed. Each message has a limit of its own that ends it when its peer has stopped (the table in docs/restarts.md). Ten minutes after SIGTERM the process ends all the same: a stream of events has no end, and 32 MiB at 64 kB a second take less. The log says every 10 s what is waited for.

--- a/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
+++ b/daemon/src/main/java/trailthread/daemon/GracefulShutdown.java
@@ -30,10 +30,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(GracefulShutdown.class);
 
     /**
-     * How long the process waits, past the longest deadline, for clients that read their last
-     * response slowly, if it is not killed.
+     * How long the process waits for its connections to be closed, if it is not killed: longer than
+     * a response of 32 MiB takes at 64 kB a second. Ends streams of events, which have no end.
      */
-    private static final long LAST_RESPONSES_GRACE_NS = 1_700_000_000L;
+    private static final long MAX_WAIT_NS = 600_000_000_000L;
+
+    /** How often the log tells what the process still waits for. */
+    private static final long WAIT_LOG_INTERVAL_NS = 10_000_000_000L;
 
     /** How often the node checks whether the plan must be brought forward. */
     private static final long PLAN_INTERVAL_NS = 25_000_000L;
@@ -94,8 +97,9 @@
     }
 
     /**
-     * Shuts the node down. Returns once all connections are closed, or the longest deadline and a
-     * grace period have passed.
+     * Shuts the node down. Returns once all connections are closed, at the latest after ten
+     * minutes. A connection stays open while a message on it makes progress: its own timeouts end
+     * it if its client or server has stopped.
      *
      * @param name the node's name, for the log
      */
@@ -105,10 +109,7 @@
         long sigtermAt = loop.now();
         CountDownLatch allClosed = new CountDownLatch(1);
         loop.execute(() -> begin(name, sigtermAt, allClosed));
-        boolean closedInTime =
-                allClosed.await(
-                        longestDeadlineSinceStartNs + LAST_RESPONSES_GRACE_NS,
-                        TimeUnit.NANOSECONDS);
+        boolean closedInTime = await(allClosed, name);
         LOG.info(
                 "{} exits {} ms after SIGTERM, {}",
                 name,
@@ -116,6 +117,25 @@
                 closedInTime ? "all connections closed" : "connections still open");
     }
 
+    /** Returns whether all connections are closed within {@link #MAX_WAIT_NS}. */
+    private boolean await(CountDownLatch closed, String name) throws InterruptedException {
+        for (long waitedNs = 0; waitedNs < MAX_WAIT_NS; waitedNs += WAIT_LOG_INTERVAL_NS) {
+            if (closed.await(WAIT_LOG_INTERVAL_NS, TimeUnit.NANOSECONDS)) {
+                return true;
+            }
+            loop.execute(() -> logOpenConnections(name));
+        }
+        return false;
+    }
+
+    private void logOpenConnections(String name) {
+        LOG.info(
+                "{} waits {} ms after SIGTERM for its last messages; connections {}",
+                name,
+                millisecondsSince(sigtermAt),
+                listener.connectionsByState());
+    }
+
     private void begin(String name, long sigtermAt, CountDownLatch allClosed) {
         this.sigtermAt = sigtermAt;
         this.allClosed = allClosed;
--- a/daemon/src/main/java/trailthread/daemon/Node.java
+++ b/daemon/src/main/java/trailthread/daemon/Node.java
@@ -218,8 +218,7 @@
 
     /**
      * Shuts the node down gracefully: keeps serving for a while, then finishes the requests in
-     * flight. Returns once all connections are closed, or the longest deadline and a grace period
-     * have passed.
+     * flight. Returns when the process may exit.
      */
     void stop() throws InterruptedException {
         shutdown.run(config.name());
--- a/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
+++ b/daemon/src/main/java/trailthread/daemon/services/ServiceNode.java
@@ -229,8 +229,7 @@
 
     /**
      * Shuts the node down gracefully: keeps serving for a while, then finishes the requests in
-     * flight. Returns once all connections are closed, or the longest deadline and a grace period
-     * have passed.
+     * flight. Returns when the process may exit.
      */
     public void stop() throws InterruptedException {
         shutdown.run(file.name());
