Don't hold this node's used-up connections against an endpoint

Cause: ConnectionPool.connect reported a used-up limit like a connect that failed, and the attempt ended as CONNECT_FAILED.

Change: the permit is reserved before the connect; without one the attempt ends as NOT_SENT, which says nothing about the endpoint and never ran.

Evidence: OutcomeByMomentTest.aUsedUpConnectionLimitIsNoFailureOfTheEndpoint fails on the code before (CONNECT_FAILED) and passes now.

--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -118,6 +118,11 @@
             sendOn(idle);
             return;
         }
+        if (!connections.tryReserve()) {
+            failureReason = "gets no connection, as this node has none left";
+            endAttempt(Outcome.NOT_SENT);
+            return;
+        }
         connectStartedAt = loop.now();
         connectTimer =
                 loop.scheduleAfterReading(
@@ -151,7 +156,7 @@
     private void connectCompleted(HttpConnection opened) {
         cancelConnect = null;
         if (ended) {
-            return; // the pool reports a reached connection limit even after a cancelled connect
+            return; // an address that can't be resolved is reported even after a cancelled connect
         }
         connectTimer.remove();
         if (opened == null) {
--- a/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/ConnectionPool.java
@@ -182,17 +182,30 @@
     }
 
     /**
-     * Opens a connection.
+     * Reserves a permit for a connection that {@link #connect} opens. If none is free, closes an
+     * idle connection to free one.
+     *
+     * @return false if the limit of this node is used up by busy connections
+     */
+    boolean tryReserve() {
+        if (limit.tryAcquire()) {
+            return true;
+        }
+        if (idle.isEmpty()) {
+            return false;
+        }
+        closeLongestIdle();
+        return limit.tryAcquire();
+    }
+
+    /**
+     * Opens a connection, for which a permit has been reserved.
      *
      * @param opened receives the connection, or null if it could not be established; never from
      *     within this call
      * @return cancels the connect
      */
     Runnable connect(PooledEndpoint endpoint, Consumer<HttpConnection> opened) {
-        if (!takePermit()) {
-            loop.execute(() -> opened.accept(null));
-            return () -> {};
-        }
         openCount++;
         Runnable cancel =
                 HttpConnector.open(
@@ -212,18 +225,6 @@
         };
     }
 
-    /** Takes a permit for a connection; if none is free, closes an idle connection to free one. */
-    private boolean takePermit() {
-        if (limit.tryAcquire()) {
-            return true;
-        }
-        if (idle.isEmpty()) {
-            return false;
-        }
-        closeLongestIdle();
-        return limit.tryAcquire();
-    }
-
     private void connectionClosed() {
         openCount--;
         limit.release();
--- a/engine/src/test/java/trailthread/engine/endpoint/OutcomeByMomentTest.java
+++ b/engine/src/test/java/trailthread/engine/endpoint/OutcomeByMomentTest.java
@@ -81,9 +81,13 @@
     }
 
     private EndpointPool attempt(int port, int length, long timeoutNs, long connectNs) {
+        return attempt(port, length, timeoutNs, connectNs, ConnectionLimit.of(4));
+    }
+
+    private EndpointPool attempt(
+            int port, int length, long timeoutNs, long connectNs, ConnectionLimit limit) {
         EndpointPool endpoints =
-                new EndpointPool(
-                        loop, connectNs, LONG_NS, 0, ConnectionLimit.of(4), 0, CpuAccount.NONE);
+                new EndpointPool(loop, connectNs, LONG_NS, 0, limit, 0, CpuAccount.NONE);
         loop.execute(
                 () -> {
                     endpoints.update(EndpointFixture.listing(port), loop.now());
@@ -121,6 +125,16 @@
         assertNextOutcome("the connection is refused", Outcome.CONNECT_FAILED);
     }
 
+    /** Guards against servers that are given up, as this node has used up its connections. */
+    @Test
+    public void aUsedUpConnectionLimitIsNoFailureOfTheEndpoint() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            int port = server.getLocalPort();
+            attempt(port, SHORT_BODY_BYTES, LONG_NS, LONG_NS, ConnectionLimit.of(0));
+            assertNextOutcome("no connection is left", Outcome.NOT_SENT);
+        }
+    }
+
     @Test
     public void beforeTheLastByteIsWritten() throws Exception {
         String unprocessed = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
