Let an endpoint that has failed for long be drawn again

Cause: each failure multiplied an endpoint's success rate by 0.9, without a bound; its square, and with it the endpoint's tickets, became 0.

Change: the rate stays at 0.1 or more, one draw in a hundred beside a healthy endpoint.

--- a/decisions/src/main/java/trailthread/OutlierDetector.java
+++ b/decisions/src/main/java/trailthread/OutlierDetector.java
@@ -28,6 +28,12 @@
     /** The largest share of ready endpoints that may be ejected. */
     private static final double MAX_EJECTED_SHARE = 0.5;
 
+    /**
+     * The lowest success rate; with it, the lottery still tries the endpoint at one draw in a
+     * hundred. If the rate came close to 0, no attempt could raise it again.
+     */
+    private static final double MIN_SUCCESS_RATE = 0.1;
+
     /** An endpoint is congested if its latency is more than this multiple of its idle latency. */
     static final double CONGESTED_LATENCIES = 2.5;
 
@@ -102,7 +108,8 @@
 
     void recordFailure(Endpoint endpoint) {
         Health health = endpoint.health;
-        health.successRate -= LatencyStats.LATENCY_WEIGHT * health.successRate;
+        double lowered = (1 - LatencyStats.LATENCY_WEIGHT) * health.successRate;
+        health.successRate = Math.max(MIN_SUCCESS_RATE, lowered);
         health.failures++;
     }
 
--- a/decisions/src/test/java/trailthread/OutlierDetectorTest.java
+++ b/decisions/src/test/java/trailthread/OutlierDetectorTest.java
@@ -7,9 +7,12 @@
 import static trailthread.ModuleFixture.NOW;
 import static trailthread.ModuleFixture.entry;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import trailthread.api.EndpointState;
+import trailthread.api.Outcome;
 
 /** The tightest objective is 200 ms and the longest deadline 1 s; delays have 20 percent jitter. */
 final class OutlierDetectorTest {
@@ -25,6 +28,39 @@
         assertTrue(outliers.permits(endpoint, idempotent, now + (long) (1.21 * ns)));
     }
 
+    /** Ends all attempts, also those that follow at once; returns their endpoints. */
+    private static Set<String> endAttempts(ScriptedBalancer s, Outcome outcome) {
+        Set<String> sentTo = new HashSet<>();
+        for (int i = 0; i < s.sends.size(); i++) {
+            ScriptedBalancer.Send sent = s.sends.get(i);
+            sentTo.add(sent.endpoint());
+            s.balancer.attemptEnded(
+                    s.now, sent.id(), sent.attempt(), outcome, 0, outcome == Outcome.OK, null);
+        }
+        return sentTo;
+    }
+
+    /** Guards against requests that fail for good after servers have failed for long. */
+    @Test
+    void endpointsThatHaveFailedForLongAreSentRequestsAgain() {
+        ScriptedBalancer s = new ScriptedBalancer(ScriptedBalancer.settings(), 1);
+        s.endpoints("a", "b");
+        for (int i = 0; i < 4_000; i++) {
+            s.request("safe");
+            endAttempts(s, Outcome.CONNECT_FAILED);
+            s.advance(1_100 * MS);
+            endAttempts(s, Outcome.CONNECT_FAILED);
+            s.sends.clear(); // the request is over
+        }
+        Set<String> served = new HashSet<>();
+        for (int i = 0; i < 1_000; i++) {
+            s.request("safe");
+            s.advance(100 * MS);
+            served.addAll(endAttempts(s, Outcome.OK));
+        }
+        assertEquals(Set.of("a", "b"), served);
+    }
+
     @Test
     void threeFailuresInARowEjectForAnObjectiveAndEachFurtherOneDoublesIt() {
         modules.recordFailures(endpoint, 2, NOW);
