Give a head that is being written its time across a drain

A client may take 2 s for a head.

Cause: a silent connection counted as unused in a drain and in a shutdown from 1 s after the head's first byte on.

Change: ClientConnections.closeUnused gives a head the 2.6 s that it has at other times. A shutdown may wait for it, as the process no longer ends by a clock.

Evidence: DrainTest.aHeadThatIsWrittenSlowlyAcrossADrainIsServed fails on the code before (closed without a response) and passes now; DrainTransitionsTest, GracefulCloseTest, LateLoopListenerTest and GracefulShutdownTest pass.

--- a/daemon/src/main/java/trailthread/daemon/listener/ClientConnections.java
+++ b/daemon/src/main/java/trailthread/daemon/listener/ClientConnections.java
@@ -173,11 +173,14 @@
         closeAfterResponse = enabled;
     }
 
-    /** Closes the idle connections, and the silent ones that have had time to send a request. */
+    /**
+     * Closes the idle connections, and the silent ones that have had time to send a request. A
+     * connection on which a head has begun is not unused: the head has its usual time.
+     */
     void closeUnused() {
         long now = loop.now();
-        closeWhileOver(ZERO_SHARE, idle.longestIdleFirst(), now, REST_TIMEOUT_NS);
-        closeWhileOver(ZERO_SHARE, silent, now - SILENT_GRACE_NS, REST_TIMEOUT_NS);
+        closeWhileOver(ZERO_SHARE, idle.longestIdleFirst(), now, HEAD_TIMEOUT_NS);
+        closeWhileOver(ZERO_SHARE, silent, now - SILENT_GRACE_NS, HEAD_TIMEOUT_NS);
     }
 
     /**
--- a/daemon/src/test/java/trailthread/daemon/DrainTest.java
+++ b/daemon/src/test/java/trailthread/daemon/DrainTest.java
@@ -13,6 +13,9 @@
 
 /** A drain moves clients away without losing requests; after a resume they are served again. */
 public class DrainTest extends WithAdminServer {
+    /** How long a client takes for its head; a drain closes unused connections after 1.5 s. */
+    private static final int HEAD_MS = 1_900;
+
     private Message sendReadyRequest() throws IOException {
         Socket frontEnd = cluster.connect();
         Message.send(frontEnd, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -54,4 +57,18 @@
                 "connections are kept alive again",
                 !"close".equals(afterResume.header("Connection")));
     }
+
+    /** Guards against a drain that closes clients which take 2 s to write a head. */
+    @Test
+    public void aHeadThatIsWrittenSlowlyAcrossADrainIsServed() throws Exception {
+        cluster.start(
+                TestCluster.SETTINGS, cluster.closeAtEnd(ScriptedServer.respondingWith("made")));
+        Socket client = cluster.connect();
+        String request = TestCluster.requestText("use", "", "");
+        Message.send(client, request.substring(0, 20));
+        assertEquals(200, cluster.sendAdminRequest("POST", "/-/drain").status());
+        Thread.sleep(HEAD_MS);
+        Message.send(client, request.substring(20));
+        assertEquals("made", Message.read(client).body());
+    }
 }
