Move the connect of an attempt into a class of its own

AttemptExchange had grown to some 500 lines; the connect, its time limit and the rest before the first use of a connection are AttemptConnect now.

--- a/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
+++ b/engine/src/main/java/trailthread/engine/endpoint/AttemptExchange.java
@@ -50,18 +50,10 @@
     private final long requestDeadline;
 
     private XnioExecutor.Key timeoutTimer;
-    private XnioExecutor.Key connectTimer;
 
-    /** Cancels the connect that is in progress, or null. */
-    private Runnable cancelConnect;
+    /** The connect that was begun for the attempt, or null. */
+    private AttemptConnect connect;
 
-    /** When the connect was begun; undefined without one. */
-    private long connectStartedAt;
-
-    /** A new connection that is not used yet, in case the endpoint sends bytes on it; or null. */
-    private HttpConnection settling;
-
-    private XnioExecutor.Key settleTimer;
     private HttpConnection connection;
 
     /** When the request's last byte was written; until then, when sending started. */
@@ -123,11 +115,20 @@
             endAttempt(Outcome.NOT_SENT);
             return;
         }
-        connectStartedAt = loop.now();
-        connectTimer =
-                loop.scheduleAfterReading(
-                        connections.connectTimeoutNs(), () -> endAttempt(Outcome.CONNECT_FAILED));
-        cancelConnect = connections.connect(endpoint, this::connectCompleted);
+        connect = new AttemptConnect(loop, connections, endpoint, new ConnectListener());
+    }
+
+    private final class ConnectListener implements AttemptConnect.Listener {
+        @Override
+        public void connected(HttpConnection opened) {
+            sendOn(opened);
+        }
+
+        @Override
+        public void connectFailed(String reason) {
+            failureReason = reason;
+            endAttempt(Outcome.CONNECT_FAILED);
+        }
     }
 
     private void scheduleTimeout() {
@@ -148,38 +149,6 @@
         return isRequestSent() ? dueAfterBody : Math.min(timeoutAt, dueAfterBody);
     }
 
-    /**
-     * Handles the end of the connect.
-     *
-     * @param opened null: no connection could be established
-     */
-    private void connectCompleted(HttpConnection opened) {
-        cancelConnect = null;
-        if (ended) {
-            return; // an address that can't be resolved is reported even after a cancelled connect
-        }
-        connectTimer.remove();
-        if (opened == null) {
-            endAttempt(Outcome.CONNECT_FAILED);
-        } else {
-            settling = opened;
-            long delayNs = connections.firstUseDelayNs(loop.now() - connectStartedAt);
-            settleTimer = loop.schedule(delayNs, this::sendOnNewConnection);
-        }
-    }
-
-    /** Sends the request, unless the endpoint has sent bytes on the new connection or ended it. */
-    private void sendOnNewConnection() {
-        HttpConnection opened = settling;
-        settling = null;
-        if (opened.readAndCheckIdle()) {
-            sendOn(opened);
-        } else {
-            failureReason = "sends bytes before any request, or ends the connection";
-            endAttempt(Outcome.CONNECT_FAILED);
-        }
-    }
-
     private void sendOn(HttpConnection target) {
         boolean maySend = connections.maySend(endpoint, request.isHealthCheck());
         long now = loop.now();
@@ -465,17 +434,11 @@
             response.close(outcome == Outcome.OK);
         }
         cancelTimeout();
-        connectTimer = cancelTimer(connectTimer);
-        settleTimer = cancelTimer(settleTimer);
         if (outcome != Outcome.OK) {
             logFailure(outcome);
         }
-        if (settling != null) {
-            connections.release(endpoint, settling);
-            settling = null;
-        }
-        if (cancelConnect != null) {
-            cancelConnect.run();
+        if (connect != null) {
+            connect.cancel();
         }
         if (connection != null) {
             connection.close();
