Let the start go on where the warm-up of the decisions throws an exception

Callers saw: a process that was up and never ready, with the stack trace of an event loop's task in its log (seen where all classes had gain 0; that cause is mended).

Cause: the warm-up, which only makes first requests faster, ran as a step of the start, and its exception ended the task that the other steps follow in.

Change: an exception ends the warm-up alone, with one error in the log.

Evidence: DecisionWarmUpTest.aWarmUpThatFailsDoesNotEndTheStart throws on the code before and passes now.

--- a/daemon/src/main/java/trailthread/daemon/DecisionWarmUp.java
+++ b/daemon/src/main/java/trailthread/daemon/DecisionWarmUp.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import trailthread.Balancer;
 import trailthread.api.BalancerActions;
 import trailthread.api.EndpointEntry;
@@ -24,6 +26,7 @@
  * <p>Uses simulated time and no sockets.
  */
 class DecisionWarmUp implements BalancerActions {
+    private static final Logger LOG = LoggerFactory.getLogger(DecisionWarmUp.class);
     private static final int ENDPOINTS = 10;
     private static final long STEP_NS = 1_000_000;
     private static final int MAX_STEPS = 300;
@@ -63,8 +66,19 @@
         balancer.updateEndpointList(now, ListKind.FULL, entries);
     }
 
-    /** Runs a simulation for a limited number of steps and a limited real time. */
+    /**
+     * Runs a simulation for a limited number of steps and a limited real time. An exception ends
+     * the simulation only: without a warm-up the node is slower at first, but it serves.
+     */
     static void run(EventLoop loop, Settings settings, long seed) {
+        try {
+            simulate(loop, settings, seed);
+        } catch (RuntimeException e) {
+            LOG.error("the decisions are not warmed up, as they threw an exception", e);
+        }
+    }
+
+    private static void simulate(EventLoop loop, Settings settings, long seed) {
         DecisionWarmUp simulation = new DecisionWarmUp(settings, seed);
         long until = loop.now() + MAX_DURATION_NS;
         for (int i = 0; i < MAX_STEPS && loop.now() < until; i++) {
--- a/daemon/src/test/java/trailthread/daemon/DecisionWarmUpTest.java
+++ b/daemon/src/test/java/trailthread/daemon/DecisionWarmUpTest.java
@@ -9,6 +9,7 @@
 import trailthread.api.Idempotency;
 import trailthread.api.RequestClass;
 import trailthread.api.Settings;
+import trailthread.engine.loop.EventLoop;
 
 /** The warm-up must exercise the decisions of an overloaded node. */
 public class DecisionWarmUpTest {
@@ -50,4 +51,12 @@
         assertTrue("sent " + sent[0], sent[0] >= 100);
         assertTrue("rejected " + rejected.size(), rejected.size() >= 10);
     }
+
+    /** Guards against a process that is up and never ready, as its warm-up threw an exception. */
+    @Test
+    public void aWarmUpThatFailsDoesNotEndTheStart() throws Exception {
+        EventLoop loop = new EventLoop("warm-up");
+        DecisionWarmUp.run(loop, new Settings(), 1); // without a class no request can be simulated
+        loop.xnioWorker().shutdownNow();
+    }
 }
