--- a/decisions/src/main/java/trailthread/PriorityPolicy.java
+++ b/decisions/src/main/java/trailthread/PriorityPolicy.java
@@ -40,7 +40,7 @@
                 rules.latencyObjectiveNs(), shareOf(request.weight, requested.value(now)));
     }
 
-    /** A part of a whole; 0 if the whole is 0, as while all requests are worth nothing. */
+    /** A part of a whole; 0 if the whole is 0, as while all requests have weight 0. */
     private static double shareOf(double part, double whole) {
         return whole > 0 ? part / whole : 0;
     }
@@ -87,8 +87,8 @@
     }
 
     /**
-     * What serving the request is expected to add to the goal per unit of work; 0 for a request
-     * that is worth nothing, however much a unit of weight would add.
+     * What serving the request is expected to add to the goal per unit of work; 0 for a request of
+     * weight 0, however much a unit of weight would add.
      */
     double valuePerWork(Request request, MarginalGain gain, long now) {
         double weight = weightPerWork(request, now);
